Lay out the packages, shared units and seams

Cause: the repository was empty; parts that are built side by side need one set of ids, sizes, instants and interfaces first. Change: workspace of twelve packages, units with parsing, the configuration document, the platform as structs of closures with an in-memory one, and the ports through which the entry sees the fleet.

--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' side: administration API and console.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Load, policy, slope and fault experiments.
+
+fn main() {}
--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,4 @@
+//! Pure decisions over time and events; no input or output, no `tokio`.
+//!
+//! Each module is a state machine: time and events go in, messages and actions come out. The
+//! daemons and the scenarios run the same code.
--- /dev/null
+++ b/crates/dotterellane/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serving system for rarely used models that many teams share.
--- /dev/null
+++ b/crates/dotterellane/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon and operator command.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' side: HTTP, keys, admission, relay.
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,1 @@
+//! The platform's services over HTTP.
--- /dev/null
+++ b/crates/protocol/src/gossip.rs
@@ -0,0 +1,7 @@
+//! Membership, freshness and soft state.
+
+use serde::{Deserialize, Serialize};
+
+/// Membership, freshness and soft state.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub enum GossipMessage {}
--- /dev/null
+++ b/crates/protocol/src/placement.rs
@@ -0,0 +1,7 @@
+//! Wakes of models and keepers of runners.
+
+use serde::{Deserialize, Serialize};
+
+/// Wakes of models and keepers of runners.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub enum PlacementMessage {}
--- /dev/null
+++ b/crates/protocol/src/shares.rs
@@ -0,0 +1,7 @@
+//! Pledges, grants and recalls of team shares.
+
+use serde::{Deserialize, Serialize};
+
+/// Pledges, grants and recalls of team shares.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub enum ShareMessage {}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,4 @@
+//! Daemon settings and the configuration document that operators write.
+
+pub mod daemon;
+pub mod document;
--- /dev/null
+++ b/crates/units/src/identifier.rs
@@ -0,0 +1,132 @@
+//! Ids: short texts whose type says what they name.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::UnitError;
+
+/// Longest id, in bytes.
+pub const MAX_ID_BYTES: usize = 63;
+
+fn check_id(kind: &'static str, text: &str) -> Result<(), UnitError> {
+    if text.is_empty() || text.len() > MAX_ID_BYTES {
+        return Err(UnitError::IdLength { kind, length: text.len() });
+    }
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':');
+    match text.chars().find(|c| !allowed(*c)) {
+        Some(found) => Err(UnitError::IdCharacter { kind, text: text.to_owned(), found }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! text_ids {
+    ($($(#[$doc:meta])* $name:ident = $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        #[derive(JsonSchema)]
+        pub struct $name(#[schemars(with = "String")] Arc<str>);
+
+        impl $name {
+            /// Returns the id as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = UnitError;
+
+            fn from_str(text: &str) -> Result<Self, UnitError> {
+                check_id($kind, text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+            where
+                S: Serializer,
+            {
+                serializer.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+            where
+                D: Deserializer<'de>,
+            {
+                let text = String::deserialize(deserializer)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+    )*};
+}
+
+text_ids! {
+    /// Names an adapter of a model.
+    AdapterId = "adapter id";
+    /// Names a failure domain: hosts that may fail together.
+    DomainId = "failure domain id";
+    /// Names a host that runs one daemon.
+    HostId = "host id";
+    /// Names a caller's key; the public part of `dk_<id>_<secret>`.
+    KeyId = "key id";
+    /// Names a model.
+    ModelId = "model id";
+    /// Names an operator.
+    OperatorId = "operator id";
+    /// Names a region: failure domains with short distances between them.
+    RegionId = "region id";
+    /// Names a plain service that upstreams of one kind offer.
+    ServiceId = "service id";
+    /// Names a team: the callers that share one rate.
+    TeamId = "team id";
+    /// Names an upstream: one runner, or one instance of a service.
+    UpstreamId = "upstream id";
+    /// Names a version of a model or adapter.
+    VersionLabel = "version label";
+}
+
+/// Names one request within the fleet; 128 random bits, shown as 32 hex digits.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct RequestId(pub u128);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let malformed = || UnitError::Malformed {
+            kind: "request id",
+            text: text.to_owned(),
+            example: "0123456789abcdef0123456789abcdef",
+        };
+        // `from_str_radix` would accept a leading sign.
+        if text.len() != 32 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(malformed());
+        }
+        u128::from_str_radix(text, 16).map(Self).map_err(|_| malformed())
+    }
+}
--- /dev/null
+++ b/crates/units/src/lib.rs
@@ -0,0 +1,18 @@
+//! Ids, sizes, rates and instants shared by every package of dotterellane.
+
+mod identifier;
+mod instant;
+mod number;
+mod parse;
+mod rate;
+mod size;
+
+pub use identifier::{
+    AdapterId, DomainId, HostId, KeyId, ModelId, OperatorId, RegionId, RequestId, ServiceId,
+    TeamId, UpstreamId, VersionLabel,
+};
+pub use instant::{ClockInstant, ClockSource};
+pub use number::{ConfigVersion, FenceNumber, HostIncarnation, RowVersion, SlotNumber};
+pub use parse::UnitError;
+pub use rate::TokenRate;
+pub use size::{ByteSize, TokenCount};
--- /dev/null
+++ b/crates/units/src/number.rs
@@ -0,0 +1,58 @@
+//! Counters whose type says what they count.
+
+use std::fmt;
+use std::str::FromStr;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::UnitError;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident = $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        #[derive(Deserialize, JsonSchema, Serialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the number after this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = UnitError;
+
+            fn from_str(text: &str) -> Result<Self, UnitError> {
+                text.parse().map(Self).map_err(|_| UnitError::Malformed {
+                    kind: $kind,
+                    text: text.to_owned(),
+                    example: "17",
+                })
+            }
+        }
+    )*};
+}
+
+counters! {
+    /// Version of the accepted configuration; grows by one with each accepted change.
+    ConfigVersion = "configuration version";
+    /// Fencing number of a runner lease; an order with a lower number than the runner has seen is stale.
+    FenceNumber = "fencing number";
+    /// Distinguishes successive daemons on one host; a later daemon has a higher one.
+    HostIncarnation = "host incarnation";
+    /// Version of a row in the platform's table; 0 means that the row is absent.
+    RowVersion = "row version";
+    /// Number of one share slot or placement slot.
+    SlotNumber = "slot number";
+}
--- /dev/null
+++ b/crates/units/src/rate.rs
@@ -0,0 +1,92 @@
+//! Rates of tokens.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use schemars::JsonSchema;
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+use crate::{TokenCount, UnitError};
+
+/// Tokens a second, held in thousandths of a token a second; written `1500/s`.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    DeserializeFromStr,
+    JsonSchema,
+    SerializeDisplay,
+)]
+pub struct TokenRate(#[schemars(with = "String")] u64);
+
+impl TokenRate {
+    /// Returns a rate of `tokens` a second.
+    pub const fn per_second(tokens: u64) -> Self {
+        Self(tokens * 1_000)
+    }
+
+    /// Returns a rate of `milli_tokens` thousandths of a token a second.
+    pub const fn from_milli_tokens(milli_tokens: u64) -> Self {
+        Self(milli_tokens)
+    }
+
+    /// Returns the rate in thousandths of a token a second.
+    pub const fn milli_tokens(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the whole tokens that the rate yields within `span`, rounded down.
+    pub fn tokens_within(self, span: Duration) -> TokenCount {
+        let milli_tokens = u128::from(self.0) * span.as_nanos() / 1_000_000_000;
+        TokenCount(u64::try_from(milli_tokens / 1_000).unwrap_or(u64::MAX))
+    }
+
+    /// Returns how long the rate needs for `tokens`, or `None` at a rate of zero.
+    pub fn time_for(self, tokens: TokenCount) -> Option<Duration> {
+        if self.0 == 0 {
+            return None;
+        }
+        let nanos = (u128::from(tokens.0) * 1_000_000_000_000).div_ceil(u128::from(self.0));
+        Some(Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX)))
+    }
+}
+
+impl fmt::Display for TokenRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (self.0 / 1_000, self.0 % 1_000) {
+            (whole, 0) => write!(f, "{whole}/s"),
+            (whole, milli) => write!(f, "{whole}.{milli:03}/s"),
+        }
+    }
+}
+
+impl FromStr for TokenRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let malformed = || UnitError::Malformed {
+            kind: "rate",
+            text: text.to_owned(),
+            example: "1500/s or 2.5/s",
+        };
+        let number = text.trim().strip_suffix("/s").ok_or_else(malformed)?;
+        let (whole, fraction) = number.split_once('.').unwrap_or((number, ""));
+        if fraction.len() > 3 || !fraction.bytes().all(|byte| byte.is_ascii_digit()) {
+            return Err(malformed());
+        }
+        let whole: u64 = whole.parse().map_err(|_| malformed())?;
+        let milli: u64 = format!("{fraction:0<3}").parse().map_err(|_| malformed())?;
+        whole
+            .checked_mul(1_000)
+            .and_then(|scaled| scaled.checked_add(milli))
+            .map(Self)
+            .ok_or_else(malformed)
+    }
+}
--- /dev/null
+++ b/crates/units/tests/units.rs
@@ -0,0 +1,50 @@
+//! Units parse what they print and refuse the rest with a hint.
+
+use dotterellane_units::{ByteSize, RequestId, TeamId, TokenCount, TokenRate, UnitError};
+use googletest::prelude::*;
+use std::time::Duration;
+
+#[gtest]
+fn byte_size_round_trip() {
+    for text in ["16GiB", "512MiB", "3KiB", "2TiB", "100B", "0B"] {
+        let size: ByteSize = text.parse().unwrap();
+        expect_that!(size.to_string(), eq(text));
+    }
+}
+
+#[gtest]
+fn byte_size_overflow() {
+    expect_that!("99999999999TiB".parse::<ByteSize>(), err(anything()));
+}
+
+#[gtest]
+fn token_rate_fraction() {
+    let rate: TokenRate = "2.5/s".parse().unwrap();
+    expect_that!(rate.milli_tokens(), eq(2_500));
+    expect_that!(rate.to_string(), eq("2.500/s"));
+    expect_that!(rate.tokens_within(Duration::from_secs(3)), eq(TokenCount(7)));
+    expect_that!(rate.time_for(TokenCount(5)), some(eq(Duration::from_secs(2))));
+}
+
+#[gtest]
+fn token_rate_without_unit() {
+    expect_that!(
+        "2.5".parse::<TokenRate>(),
+        err(matches_pattern!(UnitError::Malformed { kind: eq(&"rate"), .. }))
+    );
+}
+
+#[gtest]
+fn team_id_bad_character() {
+    expect_that!(
+        "a/b".parse::<TeamId>(),
+        err(matches_pattern!(UnitError::IdCharacter { found: eq(&'/'), .. }))
+    );
+}
+
+#[gtest]
+fn request_id_round_trip() {
+    let id = RequestId(0x1234);
+    expect_that!(id.to_string().parse::<RequestId>(), ok(eq(&id)));
+    expect_that!("+0000000000000000000000000000012".parse::<RequestId>(), err(anything()));
+}
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Calls, orders and events of runners and services.
