--- /dev/null
+++ b/crates/decisions/src/rendezvous.rs
@@ -0,0 +1,36 @@
+//! Rendezvous hashing: every host finds the same holder of a soft role without asking.
+
+use std::cmp::Reverse;
+
+use dotterellane_units::HostId;
+
+/// Weighs `host` for the role `role` over `object`; the host with the highest weight holds it.
+pub fn role_weight(role: &str, object: &str, host: &HostId) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in [role, object, host.as_str()] {
+        hasher.update(&[u8::try_from(part.len()).unwrap_or(u8::MAX)]);
+        hasher.update(part.as_bytes());
+    }
+    let digest = hasher.finalize();
+    let mut weight = [0; 8];
+    weight.copy_from_slice(&digest.as_bytes()[..8]);
+    u64::from_le_bytes(weight)
+}
+
+/// Returns the hosts in the order in which they hold the role, the holder first.
+pub fn role_order<'a, H>(role: &str, object: &str, hosts: H) -> Vec<&'a HostId>
+where
+    H: IntoIterator<Item = &'a HostId>,
+{
+    let mut order: Vec<&HostId> = hosts.into_iter().collect();
+    order.sort_by_cached_key(|host| Reverse((role_weight(role, object, host), *host)));
+    order
+}
+
+/// Returns the host that holds the role, `None` without hosts.
+pub fn role_holder<'a, H>(role: &str, object: &str, hosts: H) -> Option<&'a HostId>
+where
+    H: IntoIterator<Item = &'a HostId>,
+{
+    hosts.into_iter().max_by_key(|host| (role_weight(role, object, host), *host))
+}
