--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,1 +1,200 @@
-//! The platform's services over HTTP.
+//! The platform's services over HTTP; the only module that knows their wire format.
+//!
+//! `POST /table/read`, `/table/scan` and `/table/commit` take and give JSON; `GET /hosts` gives
+//! JSON; `GET` and `PUT /objects/{key}` take and give bytes. Status 503 says that nothing took
+//! effect; any other failure after the request was sent leaves that open.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::{HostList, ObjectError, ObjectStore, PlatformTable, TableError};
+
+/// Longest wait for an answer of the platform.
+pub const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Body of `POST /table/read`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ReadRequest {
+    /// Keys of the rows.
+    pub keys: Vec<String>,
+}
+
+/// Body of `POST /table/scan`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ScanRequest {
+    /// Prefix of the keys.
+    pub prefix: String,
+}
+
+#[derive(Clone, Debug)]
+struct PlatformClient {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// How a call to the platform failed.
+enum CallFailure {
+    /// Nothing took effect.
+    NotDone(String),
+    /// It may have taken effect.
+    Unknown(String),
+}
+
+impl PlatformClient {
+    fn new(address: SocketAddr) -> Self {
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_secs(5))
+            .retry_canceled_requests(false)
+            .build_http();
+        Self { address, client }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), CallFailure> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .body(Full::new(body))
+            .map_err(|error| CallFailure::NotDone(error.to_string()))?;
+        let exchange = async {
+            let answer = self.client.request(request).await.map_err(|error| {
+                let text = error.to_string();
+                if error.is_connect() {
+                    CallFailure::NotDone(text)
+                } else {
+                    CallFailure::Unknown(text)
+                }
+            })?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
+            let body = body.map_err(|error| CallFailure::Unknown(error.to_string()))?;
+            Ok((status, body.to_bytes()))
+        };
+        let timed_out = || CallFailure::Unknown(format!("no answer in {PLATFORM_TIMEOUT:?}"));
+        let (status, body) = tokio::time::timeout(PLATFORM_TIMEOUT, exchange)
+            .await
+            .map_err(|_elapsed| timed_out())??;
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE => Err(CallFailure::NotDone(status.to_string())),
+            status if status.is_server_error() => Err(CallFailure::Unknown(status.to_string())),
+            status => Ok((status, body)),
+        }
+    }
+
+    async fn call_table<Q, A>(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        request: Option<&Q>,
+    ) -> Result<A, TableError>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let body = request.map(serde_json::to_vec).transpose();
+        let body = body.map_err(|error| self.not_done(step, error.to_string()))?;
+        let called = self.call(method, path, body.unwrap_or_default().into()).await;
+        let (status, body) = called.map_err(|failure| match failure {
+            CallFailure::NotDone(cause) => self.not_done(step, cause),
+            CallFailure::Unknown(cause) => self.unknown(step, cause),
+        })?;
+        if status != StatusCode::OK {
+            return Err(self.not_done(step, status.to_string()));
+        }
+        serde_json::from_slice(&body).map_err(|error| self.unknown(step, error.to_string()))
+    }
+
+    fn not_done(&self, step: &'static str, cause: String) -> TableError {
+        TableError::Unavailable { step, peer: self.address.to_string(), cause }
+    }
+
+    fn unknown(&self, step: &'static str, cause: String) -> TableError {
+        TableError::AnswerLost { step, peer: self.address.to_string(), cause }
+    }
+
+    async fn call_objects(
+        &self,
+        step: &'static str,
+        method: Method,
+        key: String,
+        content: Bytes,
+    ) -> Result<Option<Bytes>, ObjectError> {
+        let called = self.call(method, &format!("/objects/{key}"), content).await;
+        let cause = match called {
+            Ok((StatusCode::OK, body)) => return Ok(Some(body)),
+            Ok((StatusCode::NOT_FOUND, _)) => return Ok(None),
+            Ok((status, _)) => status.to_string(),
+            Err(CallFailure::NotDone(cause) | CallFailure::Unknown(cause)) => cause,
+        };
+        Err(ObjectError { step, key, peer: self.address.to_string(), cause })
+    }
+}
+
+/// Returns the table service at `address`.
+pub fn table(address: SocketAddr) -> PlatformTable {
+    let reader = PlatformClient::new(address);
+    let (scanner, committer) = (reader.clone(), reader.clone());
+    PlatformTable::new(
+        move |keys| {
+            let client = reader.clone();
+            async move {
+                let request = ReadRequest { keys };
+                client.call_table("read rows", Method::POST, "/table/read", Some(&request)).await
+            }
+        },
+        move |prefix| {
+            let client = scanner.clone();
+            async move {
+                let request = ScanRequest { prefix };
+                client.call_table("scan rows", Method::POST, "/table/scan", Some(&request)).await
+            }
+        },
+        move |transaction| {
+            let client = committer.clone();
+            async move {
+                client.call_table("commit", Method::POST, "/table/commit", Some(&transaction)).await
+            }
+        },
+    )
+}
+
+/// Returns the object store at `address`.
+pub fn objects(address: SocketAddr) -> ObjectStore {
+    let getter = PlatformClient::new(address);
+    let putter = getter.clone();
+    ObjectStore::new(
+        move |key| {
+            let client = getter.clone();
+            async move { client.call_objects("get", Method::GET, key, Bytes::new()).await }
+        },
+        move |key, content| {
+            let client = putter.clone();
+            async move { client.call_objects("put", Method::PUT, key, content).await.map(drop) }
+        },
+    )
+}
+
+/// Returns the host list at `address`.
+pub fn host_list(address: SocketAddr) -> HostList {
+    let lister = PlatformClient::new(address);
+    HostList::new(move || {
+        let client = lister.clone();
+        async move { client.call_table("list hosts", Method::GET, "/hosts", None::<&()>).await }
+    })
+}
