--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,7 @@
+//! Load, policy, slope and fault experiments.
+
+pub mod cli;
+pub mod load;
+pub mod output;
+pub mod target;
+pub mod trace;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,23 @@
 //! Load, policy, slope and fault experiments.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+use dotterellane_bench::cli::{Arguments, Command};
+use dotterellane_bench::{load, output};
+
+fn main() -> ExitCode {
+    match run(Arguments::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: Arguments) -> miette::Result<()> {
+    match arguments.command {
+        Command::Load(options) => output::print(&load::run(&options)?),
+    }
+}
