Read upstream roles without flattening, and add keys

Cause: serde rejects every field of a flattened enum in a struct that denies unknown fields, so no document with an upstream could be read. Change: an upstream names its role under 'role'. Measured: 6 tests of the settings pass. With the flattening planted again, document_upstream_roles fails. Conclusion: documents with runners and services round-trip.

--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -205,7 +205,6 @@
     /// Failure domain that it is in.
     pub domain: DomainId,
     /// What it does.
-    #[serde(flatten)]
     pub role: UpstreamRole,
     /// Whether it is leaving: it gets no new work.
     #[serde(default)]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod daemon;
 pub mod document;
+pub mod keys;
