Keep foreign derives on lines of their own, and fit lines to measured points

Cause: rustfmt merged the derive lines that the style wants apart; table values went over the wire as arrays of numbers; slopes need lines with confidence.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -5,7 +5,8 @@
 use crate::load::LoadOptions;
 
 /// Measures dotterellane; results are printed as JSON
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(name = "dotterellane-bench", version, max_term_width = 98)]
 pub struct Arguments {
     /// What to measure
@@ -14,7 +15,8 @@
 }
 
 /// What to measure
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub enum Command {
     /// Send seeded requests to a running fleet at a fixed rate, whatever it answers
     Load(LoadOptions),
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod cli;
 pub mod load;
 pub mod output;
+pub mod regression;
 pub mod target;
 pub mod trace;
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -28,7 +28,8 @@
 const MAX_TRACKED_MICROS: u64 = 600_000_000;
 
 /// How a fleet is loaded
-#[derive(Clone, Debug, Args)]
+#[derive(Clone, Debug)]
+#[derive(Args)]
 pub struct LoadOptions {
     /// File whose first line is what `dotterellane demo --json` prints
     #[arg(long, value_name = "FILE")]
@@ -51,7 +52,8 @@
 }
 
 /// What became of the requests.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct LoadReport {
     /// Requests sent.
     pub sent: u64,
@@ -70,7 +72,8 @@
 }
 
 /// How one team fared.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct TeamSummary {
     /// Requests sent.
     pub sent: u64,
@@ -81,7 +84,8 @@
 }
 
 /// Percentiles of a latency, in microseconds.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize)]
 pub struct LatencySummary {
     /// Number of values.
     pub count: u64,
--- a/crates/bench/src/target.rs
+++ b/crates/bench/src/target.rs
@@ -6,7 +6,8 @@
 use serde::Deserialize;
 
 /// Addresses and keys of a running fleet.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub struct LoadTarget {
     /// Callers' addresses, one a daemon.
     pub entries: Vec<String>,
@@ -20,7 +21,8 @@
 }
 
 /// A team and its key.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub struct TargetTeam {
     /// Name of the team.
     pub team: String,
--- a/crates/dotterellane/src/demo/document.rs
+++ b/crates/dotterellane/src/demo/document.rs
@@ -44,8 +44,7 @@
 ) -> Result<ConfigurationDocument, UnitError> {
     let mut document = ConfigurationDocument::default();
     for ((team, rate, burst), digest) in TEAMS.iter().zip(team_digests) {
-        let entry =
-            TeamEntry { rate: TokenRate::per_second(*rate), burst: TokenCount(*burst) };
+        let entry = TeamEntry { rate: TokenRate::per_second(*rate), burst: TokenCount(*burst) };
         document.teams.insert(team.parse()?, entry);
         let key = KeyEntry {
             team: team.parse()?,
@@ -101,10 +100,7 @@
     })
 }
 
-fn add_service(
-    document: &mut ConfigurationDocument,
-    address: SocketAddr,
-) -> Result<(), UnitError> {
+fn add_service(document: &mut ConfigurationDocument, address: SocketAddr) -> Result<(), UnitError> {
     let entry = ServiceEntry {
         callers: CallerScope::AllTeams,
         calls: CallKind::OnceOnly,
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -24,14 +24,16 @@
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
 /// Body of `POST /table/read`.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct ReadRequest {
     /// Keys of the rows.
     pub keys: Vec<String>,
 }
 
 /// Body of `POST /table/scan`.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct ScanRequest {
     /// Prefix of the keys.
     pub prefix: String,
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -7,21 +7,27 @@
 use dotterellane_units::RowVersion;
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
+use serde_with::base64::Base64;
+use serde_with::serde_as;
 use thiserror::Error;
 
 /// One row. Keys are paths such as `members/host-3`; a version grows with each write of its row.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde_as]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TableRow {
     /// Key of the row.
     pub key: String,
     /// Version of the row, at least 1.
     pub version: RowVersion,
     /// Content, `postcard` or JSON as its owner chooses.
+    #[serde_as(as = "Base64")]
     pub value: Vec<u8>,
 }
 
 /// What a transaction requires of a row.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RowCondition {
     /// Key of the row.
     pub key: String,
@@ -30,16 +36,20 @@
 }
 
 /// A write of one row.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde_as]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RowWrite {
     /// Key of the row.
     pub key: String,
     /// New content, or `None` to delete the row.
+    #[serde_as(as = "Option<Base64>")]
     pub value: Option<Vec<u8>>,
 }
 
 /// Writes that take effect together if every condition holds.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TableTransaction {
     /// What must hold.
     pub conditions: Vec<RowCondition>,
@@ -48,7 +58,8 @@
 }
 
 /// How a transaction ended.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum CommitOutcome {
     /// It took effect; the versions of the written rows, in order, 0 for a deleted one.
     Committed(Vec<RowVersion>),
@@ -57,7 +68,8 @@
 }
 
 /// Why the table did not answer.
-#[derive(Clone, Debug, Eq, PartialEq, Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
 pub enum TableError {
     /// The table refused or could not be reached: nothing took effect.
     #[error("{step}: table at {peer} is unavailable: {cause}")]
--- a/crates/standins/src/runner/serving.rs
+++ b/crates/standins/src/runner/serving.rs
@@ -25,7 +25,8 @@
 /// Header that marks a refusal of a request that did not run.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct GenerationBody {
     model: String,
     #[serde(default)]
