--- a/crates/dotterellane/src/cli.rs
+++ b/crates/dotterellane/src/cli.rs
@@ -1,7 +1,5 @@
 //! The command line. Doc comments are the help texts.
 
-use std::path::PathBuf;
-
 use clap::{Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 
@@ -36,19 +34,6 @@
         #[arg(long)]
         json: bool,
     },
-    /// Run one daemon
-    Serve {
-        /// Settings of the daemon, in YAML
-        #[arg(long, value_name = "FILE")]
-        settings: PathBuf,
-    },
-    /// Check a configuration document or the settings of a daemon
-    ///
-    /// Every error is printed with its line; the exit code is 2 if there is one.
-    Check {
-        /// File to check, in YAML
-        file: PathBuf,
-    },
     /// Print shell completions
     Completions {
         /// Shell that they are for
--- a/crates/dotterellane/src/demo/document.rs
+++ b/crates/dotterellane/src/demo/document.rs
@@ -40,7 +40,7 @@
     team_digests: &[String],
     operator_digest: String,
     runners: &[SocketAddr],
-    service: SocketAddr,
+    service: Option<SocketAddr>,
 ) -> Result<ConfigurationDocument, UnitError> {
     let mut document = ConfigurationDocument::default();
     for ((team, rate, burst), digest) in TEAMS.iter().zip(team_digests) {
@@ -82,7 +82,9 @@
         };
         document.upstreams.insert(format!("runner-{}", index + 1).parse()?, entry);
     }
-    add_service(&mut document, service)?;
+    if let Some(address) = service {
+        add_service(&mut document, address)?;
+    }
     Ok(document)
 }
 
