Seal datagrams between daemons and name the gossip messages

Cause: daemons had no way to tell a peer's datagram from a forged, changed or replayed one, and no messages for membership and the log of changes. Change: an envelope of version byte, postcard content and a keyed BLAKE3 tag of 16 bytes, a replay window of 128 counters a sender's incarnation; gossip messages with ages in one byte, never rounded down. Measured: 10 tests pass; with the check of the replay window's bits taken out, open_replayed_or_reordered fails.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 //! so every receiver is idempotent.
 
 pub mod dispatch;
+pub mod envelope;
 pub mod gossip;
 pub mod placement;
 pub mod shares;
@@ -12,7 +13,14 @@
 use serde::{Deserialize, Serialize};
 
 pub use dispatch::DispatchMessage;
-pub use gossip::GossipMessage;
+pub use envelope::{
+    EnvelopeContent, EnvelopeKey, EnvelopeOpener, EnvelopeSealer, MAX_DATAGRAM_BYTES, OpenError,
+    SealError,
+};
+pub use gossip::{
+    AgeLevel, DocumentEdit, GossipAnswer, GossipMessage, GossipQuestion, HeardReport, LogBody,
+    LogEntry, LogHeads, LogPosition, MemberRecord, MemberSeat,
+};
 pub use placement::PlacementMessage;
 pub use shares::ShareMessage;
 
