Decide on freshness, member lists and gossip rounds

Cause: daemons need to know whether they may have missed an accepted change. Change: pure machines. Evidence is the age of a table read, added up on the way, or a quorum of the member list heard lately; an entry is in force once every quorum holds a confirmation, and the evidence bound plus drift has passed. Seats are incarnations, so that none forgets what it confirmed.

--- /dev/null
+++ b/crates/decisions/src/freshness.rs
@@ -0,0 +1,375 @@
+//! The freshness lease: whether this daemon knows every change of hard state that is in force.
+//!
+//! `docs/design/freshness.md` gives the argument.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use dotterellane_protocol::{
+    AgeLevel, GossipAnswer, GossipQuestion, HeardReport, LogHeads, LogPosition, MemberSeat,
+};
+use dotterellane_units::{ClockInstant, HostId};
+
+use crate::membership::MemberLists;
+
+/// Greatest age of the evidence that freshness rests on, on the daemon's own clock.
+pub const EVIDENCE_BOUND: Duration = Duration::from_secs(3);
+
+/// Greatest deviation of a host's clock rate from true time, in parts per million.
+pub const CLOCK_DRIFT_PPM: u32 = 5_000;
+
+/// Time within which a daemon must have been heard to count as alive.
+pub const ALIVE_BOUND: Duration = Duration::from_secs(8);
+
+/// Returns how long an author waits after the confirmations, on its own clock.
+///
+/// `F (1 + d) / (1 - d)`: evidence may live longer on a slow clock, the wait end early on a fast one.
+pub fn in_force_wait() -> Duration {
+    let slow = 1_000_000 - CLOCK_DRIFT_PPM;
+    EVIDENCE_BOUND * (1_000_000 + CLOCK_DRIFT_PPM) / slow + Duration::from_nanos(1)
+}
+
+/// What makes a daemon fresh or not.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FreshnessEvidence {
+    /// The table was read lately, here or by a peer.
+    Table,
+    /// A quorum of the members was heard lately.
+    Members,
+    /// Neither.
+    Nothing,
+    /// A newer entry is known than is followed.
+    Behind,
+    /// A later incarnation of this host is listed.
+    Superseded,
+}
+
+impl FreshnessEvidence {
+    /// Tells whether the daemon is fresh.
+    pub fn is_fresh(self) -> bool {
+        matches!(self, Self::Table | Self::Members)
+    }
+}
+
+/// What is known of one seat of the current list.
+#[derive(Clone, Copy, Debug, Default)]
+struct SeatState {
+    heard: Option<ClockInstant>,
+    leaving: bool,
+}
+
+/// Freshness of one daemon.
+#[derive(Clone, Debug)]
+pub struct FreshnessMachine {
+    own: MemberSeat,
+    lists: MemberLists,
+    heads: LogHeads,
+    table_read: Option<ClockInstant>,
+    seats: Vec<SeatState>,
+    confirmed: BTreeMap<MemberSeat, LogPosition>,
+    gone: BTreeSet<MemberSeat>,
+    reached: BTreeMap<LogPosition, ClockInstant>,
+    calls: BTreeMap<u64, (HostId, ClockInstant)>,
+}
+
+impl FreshnessMachine {
+    /// Starts an incarnation that knows nothing.
+    pub fn new(own: MemberSeat) -> Self {
+        Self {
+            own,
+            lists: MemberLists::default(),
+            heads: LogHeads::default(),
+            table_read: None,
+            seats: Vec::new(),
+            confirmed: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            reached: BTreeMap::new(),
+            calls: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the seat of this daemon.
+    pub fn own(&self) -> &MemberSeat {
+        &self.own
+    }
+
+    /// Returns how far this daemon is in the log.
+    pub fn heads(&self) -> LogHeads {
+        self.heads
+    }
+
+    /// Returns the member lists at the position that is followed.
+    pub fn lists(&self) -> &MemberLists {
+        &self.lists
+    }
+
+    /// Tells whether this daemon's own seat is listed.
+    pub fn is_listed(&self) -> bool {
+        self.lists.current.index_of(&self.own).is_some()
+    }
+
+    /// Follows the log up to `position`, where the member lists are `lists`.
+    pub fn follow(&mut self, position: LogPosition, lists: &MemberLists, now: ClockInstant) {
+        if position <= self.heads.followed {
+            return;
+        }
+        self.heads.followed = position;
+        self.heads.known = self.heads.known.max(position);
+        if self.lists != *lists {
+            self.take_lists(lists);
+        }
+        self.confirm(self.own.clone(), position);
+        self.count_confirmations(now);
+    }
+
+    /// Takes in an answer of the table to a question sent at `asked_at`: the newest position, and
+    /// the newest one that an author knew to be in force.
+    pub fn learn_table(
+        &mut self,
+        asked_at: ClockInstant,
+        newest: LogPosition,
+        in_force: LogPosition,
+    ) {
+        self.learn(LogHeads { followed: LogPosition(0), known: newest, in_force });
+        self.table_read = self.table_read.max(Some(asked_at));
+    }
+
+    /// Prepares a question to `to`, sent at `now`; `call` must not have been used before.
+    pub fn ask(
+        &mut self,
+        to: &HostId,
+        call: u64,
+        now: ClockInstant,
+        wants_heard: bool,
+    ) -> GossipQuestion {
+        self.calls.retain(|_, (_, asked_at)| now.since(*asked_at) <= EVIDENCE_BOUND);
+        self.calls.insert(call, (to.clone(), now));
+        GossipQuestion { call, heads: self.heads, wants_heard, leaving: false }
+    }
+
+    /// Takes in how far a peer is; no evidence, for it may have been sent at any time before.
+    pub fn learn_heads(&mut self, from: &MemberSeat, heads: LogHeads, now: ClockInstant) {
+        self.learn(heads);
+        self.confirm(from.clone(), heads.followed);
+        self.count_confirmations(now);
+    }
+
+    /// Answers a question that has been received by `now`.
+    pub fn answer(&self, question: &GossipQuestion, now: ClockInstant) -> GossipAnswer {
+        let age = self.table_age(now).filter(|age| *age <= EVIDENCE_BOUND);
+        let millis = age.map(|age| age.as_nanos().div_ceil(1_000_000));
+        GossipAnswer {
+            call: question.call,
+            heads: self.heads,
+            table_age_millis: millis.and_then(|millis| u32::try_from(millis).ok()),
+            heard: question.wants_heard.then(|| self.report(now)),
+            leaving: false,
+        }
+    }
+
+    /// Takes in an answer of `from`, received by `now`; tells whether it fits a question.
+    pub fn hear(&mut self, from: &MemberSeat, answer: &GossipAnswer, now: ClockInstant) -> bool {
+        let Some((asked, asked_at)) = self.calls.get(&answer.call).cloned() else {
+            return false;
+        };
+        if asked != from.host {
+            return false;
+        }
+        self.calls.remove(&answer.call);
+        self.learn(answer.heads);
+        self.confirm(from.clone(), answer.heads.followed);
+        if let Some(millis) = answer.table_age_millis {
+            let read_at = earlier(asked_at, Duration::from_millis(millis.into()));
+            self.table_read = self.table_read.max(read_at);
+        }
+        if let Some(index) = self.lists.current.index_of(from) {
+            let state = &mut self.seats[index];
+            state.heard = state.heard.max(Some(asked_at));
+            state.leaving |= answer.leaving;
+        }
+        if let Some(report) = &answer.heard {
+            self.merge(report, asked_at);
+        }
+        self.count_confirmations(now);
+        true
+    }
+
+    /// Marks a seat as leaving.
+    pub fn note_leaving(&mut self, seat: &MemberSeat) {
+        if let Some(index) = self.lists.current.index_of(seat) {
+            self.seats[index].leaving = true;
+        }
+    }
+
+    /// Sets which seats are proven to run no more.
+    pub fn note_gone(&mut self, gone: BTreeSet<MemberSeat>, now: ClockInstant) {
+        self.gone = gone;
+        self.count_confirmations(now);
+    }
+
+    /// Moves entries whose wait is over into force.
+    pub fn step(&mut self, now: ClockInstant) {
+        let wait = in_force_wait();
+        let done = self.reached.iter().filter(|(_, since)| now.since(**since) > wait);
+        if let Some(position) = done.map(|(position, _)| *position).max() {
+            self.learn(LogHeads { in_force: position, ..LogHeads::default() });
+        }
+    }
+
+    /// Tells what this daemon's freshness rests on at `now`.
+    pub fn evidence(&self, now: ClockInstant) -> FreshnessEvidence {
+        let listed = self.lists.current.find(&self.own.host);
+        if listed.is_some_and(|record| record.seat.incarnation > self.own.incarnation) {
+            return FreshnessEvidence::Superseded;
+        }
+        if self.heads.followed < self.heads.known {
+            return FreshnessEvidence::Behind;
+        }
+        if self.table_age(now).is_some_and(|age| age <= EVIDENCE_BOUND) {
+            return FreshnessEvidence::Table;
+        }
+        let heard = |seat: &MemberSeat| {
+            *seat == self.own
+                || self.heard_at(seat).is_some_and(|at| now.since(at) <= EVIDENCE_BOUND)
+        };
+        match self.lists.current.is_quorum(heard) {
+            true => FreshnessEvidence::Members,
+            false => FreshnessEvidence::Nothing,
+        }
+    }
+
+    /// Returns the age of the newest evidence of the table.
+    pub fn table_age(&self, now: ClockInstant) -> Option<Duration> {
+        self.table_read.map(|at| now.since(at))
+    }
+
+    /// Returns when a seat of the current list was heard last, at the latest.
+    pub fn heard_at(&self, seat: &MemberSeat) -> Option<ClockInstant> {
+        self.lists.current.index_of(seat).and_then(|index| self.seats[index].heard)
+    }
+
+    /// Tells whether a seat of the current list was heard within [`ALIVE_BOUND`].
+    pub fn is_alive(&self, seat: &MemberSeat, now: ClockInstant) -> bool {
+        *seat == self.own || self.heard_at(seat).is_some_and(|at| now.since(at) <= ALIVE_BOUND)
+    }
+
+    /// Tells whether a seat of the current list said that it leaves.
+    pub fn is_leaving(&self, seat: &MemberSeat) -> bool {
+        self.lists.current.index_of(seat).is_some_and(|index| self.seats[index].leaving)
+    }
+
+    /// Returns the listed seats that have not confirmed `position`.
+    pub fn outstanding(&self, position: LogPosition) -> Vec<MemberSeat> {
+        let seats = self.lists.current.records.iter().map(|record| &record.seat);
+        seats.filter(|seat| !self.has_confirmed(seat, position)).cloned().collect()
+    }
+
+    fn take_lists(&mut self, lists: &MemberLists) {
+        let state = |seat: &MemberSeat| {
+            let index = self.lists.current.index_of(seat);
+            index.map_or_else(SeatState::default, |index| self.seats[index])
+        };
+        self.seats = lists.current.records.iter().map(|record| state(&record.seat)).collect();
+        self.lists = lists.clone();
+        self.confirmed.retain(|seat, _| lists.lists(seat));
+        self.gone.retain(|seat| lists.lists(seat));
+    }
+
+    fn learn(&mut self, heads: LogHeads) {
+        let known = heads.known.max(heads.followed).max(heads.in_force);
+        self.heads.known = self.heads.known.max(known);
+        self.heads.in_force = self.heads.in_force.max(heads.in_force);
+        let in_force = self.heads.in_force;
+        self.reached.retain(|position, _| *position > in_force);
+    }
+
+    fn confirm(&mut self, seat: MemberSeat, position: LogPosition) {
+        if self.lists.lists(&seat) {
+            let confirmed = self.confirmed.entry(seat).or_default();
+            *confirmed = position.max(*confirmed);
+        }
+    }
+
+    fn has_confirmed(&self, seat: &MemberSeat, position: LogPosition) -> bool {
+        self.confirmed.get(seat).is_some_and(|confirmed| *confirmed >= position)
+    }
+
+    /// Notes the newest entry that every quorum has a confirmation of.
+    fn count_confirmations(&mut self, now: ClockInstant) {
+        let latest = self.reached.keys().next_back().copied();
+        let floor = latest.unwrap_or_default().max(self.heads.in_force);
+        let positions: BTreeSet<LogPosition> =
+            self.confirmed.values().copied().filter(|position| *position > floor).collect();
+        let blocked = positions.into_iter().rev().find(|position| self.is_blocked(*position));
+        if let Some(position) = blocked {
+            self.reached.insert(position, now);
+        }
+    }
+
+    fn is_blocked(&self, position: LogPosition) -> bool {
+        let counts =
+            |seat: &MemberSeat| self.gone.contains(seat) || self.has_confirmed(seat, position);
+        // Daemons that still use the previous list may be fresh until the current one is in force.
+        let settled = self.lists.may_change(self.heads.in_force);
+        self.lists.current.is_blocked(counts) && (settled || self.lists.previous.is_blocked(counts))
+    }
+
+    fn report(&self, now: ClockInstant) -> HeardReport {
+        let records = &self.lists.current.records;
+        let confirmed = self.heads.followed;
+        let level = |state: &SeatState| {
+            state.heard.map_or(AgeLevel::UNHEARD, |at| AgeLevel::covering(now.since(at)))
+        };
+        let confirms = records.iter().map(|record| self.has_confirmed(&record.seat, confirmed));
+        HeardReport {
+            list: self.lists.current.made_at,
+            levels: self.seats.iter().map(level).collect(),
+            confirmed,
+            confirmed_bits: pack(confirms),
+            leaving_bits: pack(self.seats.iter().map(|state| state.leaving)),
+        }
+    }
+
+    fn merge(&mut self, report: &HeardReport, asked_at: ClockInstant) {
+        let fits = report.levels.len() == self.seats.len();
+        if report.list != self.lists.current.made_at || !fits {
+            return;
+        }
+        for (index, state) in self.seats.iter_mut().enumerate() {
+            let heard = report.levels[index].age().and_then(|age| earlier(asked_at, age));
+            state.heard = state.heard.max(heard);
+            state.leaving |= bit(&report.leaving_bits, index);
+        }
+        for index in 0..self.seats.len() {
+            if bit(&report.confirmed_bits, index) {
+                let seat = self.lists.current.records[index].seat.clone();
+                self.confirm(seat, report.confirmed);
+            }
+        }
+    }
+}
+
+/// Returns the instant `age` before `at`, `None` if that is before the clock's origin.
+fn earlier(at: ClockInstant, age: Duration) -> Option<ClockInstant> {
+    (at.since(ClockInstant(0)) >= age).then(|| at - age)
+}
+
+fn pack<B>(bits: B) -> Vec<u8>
+where
+    B: Iterator<Item = bool>,
+{
+    let mut packed = Vec::new();
+    for (index, bit) in bits.enumerate() {
+        if index % 8 == 0 {
+            packed.push(0);
+        }
+        if let Some(byte) = packed.last_mut() {
+            *byte |= u8::from(bit) << (index % 8);
+        }
+    }
+    packed
+}
+
+fn bit(packed: &[u8], index: usize) -> bool {
+    packed.get(index / 8).is_some_and(|byte| byte >> (index % 8) & 1 == 1)
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,4 +3,7 @@
 //! Each module is a state machine: time and events go in, messages and actions come out. The
 //! daemons and the scenarios run the same code.
 
+pub mod freshness;
+pub mod membership;
 pub mod rendezvous;
+pub mod rounds;
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -48,7 +48,8 @@
 }
 
 /// The sealed part of a datagram.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EnvelopeContent {
     /// Host that sends.
     pub from: HostId,
@@ -63,7 +64,8 @@
 }
 
 /// Why a message could not be sealed.
-#[derive(Clone, Debug, Eq, PartialEq, Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
 pub enum SealError {
     /// The encoded message is too long for a datagram.
     #[error("seal for {to}: message of {length} bytes is longer than {MAX_MESSAGE_BYTES}")]
@@ -84,7 +86,8 @@
 }
 
 /// Why a datagram was refused.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Error)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Error)]
 pub enum OpenError {
     /// The version byte is not [`PROTOCOL_VERSION`].
     #[error("open datagram: protocol version {0} is not spoken here")]
--- a/crates/protocol/src/gossip.rs
+++ b/crates/protocol/src/gossip.rs
@@ -8,9 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Position in the log of changes to hard state; 0 is before the first entry.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct LogPosition(pub u64);
 
@@ -29,7 +28,8 @@
 }
 
 /// One incarnation of a host, as the member list counts it. It never forgets what it confirmed.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct MemberSeat {
     /// The host.
     pub host: HostId,
@@ -44,7 +44,8 @@
 }
 
 /// A member as its row and the log describe it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct MemberRecord {
     /// Incarnation of the host.
     pub seat: MemberSeat,
@@ -55,7 +56,8 @@
 }
 
 /// One difference of the configuration document: an entry of a section as it is from now on.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct DocumentEdit {
     /// Section of the document, such as `keys`.
     pub section: String,
@@ -66,7 +68,8 @@
 }
 
 /// What a log entry changes.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum LogBody {
     /// The configuration document.
     Configuration {
@@ -96,7 +99,8 @@
 }
 
 /// One accepted change of hard state.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LogEntry {
     /// Position of the entry.
     pub position: LogPosition,
@@ -111,7 +115,8 @@
 }
 
 /// How far a daemon is in the log.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LogHeads {
     /// Newest entry that the daemon follows, and by that confirms.
     pub followed: LogPosition,
@@ -122,7 +127,8 @@
 }
 
 /// A question to a peer; evidence in the answer is counted from when this was sent.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct GossipQuestion {
     /// Number that the answer repeats.
     pub call: u64,
@@ -135,7 +141,8 @@
 }
 
 /// Which members a daemon has heard and which confirmed its own position.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct HeardReport {
     /// Entry that made the member list which the levels are about.
     pub list: LogPosition,
@@ -150,7 +157,8 @@
 }
 
 /// Answers a [`GossipQuestion`].
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct GossipAnswer {
     /// Number of the question.
     pub call: u64,
@@ -165,7 +173,8 @@
 }
 
 /// Membership, freshness and the log of changes.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum GossipMessage {
     /// Asks how far a peer is and what it heard.
     Question(GossipQuestion),
@@ -189,7 +198,8 @@
 /// The age of a hearing in one byte, never rounded down.
 ///
 /// Fine up to 3 s, where it decides on freshness; coarse up to 18 s, where it tells who is alive.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct AgeLevel(pub u8);
 
