Start a daemon's control: transport, gossip, members, configuration log

Cause: the parts of a daemon had no way to its peers and no hard state. Change: node::start gives ports, inboxes, the member feed and the operators' ports over one UDP socket and a log of changes kept in the table. A change is a conditional transaction on the head row with its own change id; entries travel by gossip, and by the table after a jittered delay.

--- a/crates/decisions/src/freshness.rs
+++ b/crates/decisions/src/freshness.rs
@@ -70,6 +70,7 @@
     gone: BTreeSet<MemberSeat>,
     reached: BTreeMap<LogPosition, ClockInstant>,
     calls: BTreeMap<u64, (HostId, ClockInstant)>,
+    leaving: bool,
 }
 
 impl FreshnessMachine {
@@ -85,6 +86,7 @@
             gone: BTreeSet::new(),
             reached: BTreeMap::new(),
             calls: BTreeMap::new(),
+            leaving: false,
         }
     }
 
@@ -105,7 +107,7 @@
 
     /// Tells whether this daemon's own seat is listed.
     pub fn is_listed(&self) -> bool {
-        self.lists.current.index_of(&self.own).is_some()
+        self.lists.current().index_of(&self.own).is_some()
     }
 
     /// Follows the log up to `position`, where the member lists are `lists`.
@@ -144,7 +146,12 @@
     ) -> GossipQuestion {
         self.calls.retain(|_, (_, asked_at)| now.since(*asked_at) <= EVIDENCE_BOUND);
         self.calls.insert(call, (to.clone(), now));
-        GossipQuestion { call, heads: self.heads, wants_heard, leaving: false }
+        GossipQuestion { call, heads: self.heads, wants_heard, leaving: self.leaving }
+    }
+
+    /// Takes in that an entry exists.
+    pub fn learn_position(&mut self, position: LogPosition) {
+        self.learn(LogHeads { known: position, ..LogHeads::default() });
     }
 
     /// Takes in how far a peer is; no evidence, for it may have been sent at any time before.
@@ -163,7 +170,7 @@
             heads: self.heads,
             table_age_millis: millis.and_then(|millis| u32::try_from(millis).ok()),
             heard: question.wants_heard.then(|| self.report(now)),
-            leaving: false,
+            leaving: self.leaving,
         }
     }
 
@@ -182,7 +189,7 @@
             let read_at = earlier(asked_at, Duration::from_millis(millis.into()));
             self.table_read = self.table_read.max(read_at);
         }
-        if let Some(index) = self.lists.current.index_of(from) {
+        if let Some(index) = self.lists.current().index_of(from) {
             let state = &mut self.seats[index];
             state.heard = state.heard.max(Some(asked_at));
             state.leaving |= answer.leaving;
@@ -194,9 +201,14 @@
         true
     }
 
+    /// Says from now on that this daemon leaves.
+    pub fn set_leaving(&mut self) {
+        self.leaving = true;
+    }
+
     /// Marks a seat as leaving.
     pub fn note_leaving(&mut self, seat: &MemberSeat) {
-        if let Some(index) = self.lists.current.index_of(seat) {
+        if let Some(index) = self.lists.current().index_of(seat) {
             self.seats[index].leaving = true;
         }
     }
@@ -218,7 +230,7 @@
 
     /// Tells what this daemon's freshness rests on at `now`.
     pub fn evidence(&self, now: ClockInstant) -> FreshnessEvidence {
-        let listed = self.lists.current.find(&self.own.host);
+        let listed = self.lists.current().find(&self.own.host);
         if listed.is_some_and(|record| record.seat.incarnation > self.own.incarnation) {
             return FreshnessEvidence::Superseded;
         }
@@ -232,7 +244,7 @@
             *seat == self.own
                 || self.heard_at(seat).is_some_and(|at| now.since(at) <= EVIDENCE_BOUND)
         };
-        match self.lists.current.is_quorum(heard) {
+        match self.lists.current().is_quorum(heard) {
             true => FreshnessEvidence::Members,
             false => FreshnessEvidence::Nothing,
         }
@@ -245,7 +257,7 @@
 
     /// Returns when a seat of the current list was heard last, at the latest.
     pub fn heard_at(&self, seat: &MemberSeat) -> Option<ClockInstant> {
-        self.lists.current.index_of(seat).and_then(|index| self.seats[index].heard)
+        self.lists.current().index_of(seat).and_then(|index| self.seats[index].heard)
     }
 
     /// Tells whether a seat of the current list was heard within [`ALIVE_BOUND`].
@@ -255,24 +267,25 @@
 
     /// Tells whether a seat of the current list said that it leaves.
     pub fn is_leaving(&self, seat: &MemberSeat) -> bool {
-        self.lists.current.index_of(seat).is_some_and(|index| self.seats[index].leaving)
+        self.lists.current().index_of(seat).is_some_and(|index| self.seats[index].leaving)
     }
 
     /// Returns the listed seats that have not confirmed `position`.
     pub fn outstanding(&self, position: LogPosition) -> Vec<MemberSeat> {
-        let seats = self.lists.current.records.iter().map(|record| &record.seat);
+        let seats = self.lists.current().records.iter().map(|record| &record.seat);
         seats.filter(|seat| !self.has_confirmed(seat, position)).cloned().collect()
     }
 
     fn take_lists(&mut self, lists: &MemberLists) {
         let state = |seat: &MemberSeat| {
-            let index = self.lists.current.index_of(seat);
+            let index = self.lists.current().index_of(seat);
             index.map_or_else(SeatState::default, |index| self.seats[index])
         };
-        self.seats = lists.current.records.iter().map(|record| state(&record.seat)).collect();
+        self.seats = lists.current().records.iter().map(|record| state(&record.seat)).collect();
         self.lists = lists.clone();
-        self.confirmed.retain(|seat, _| lists.lists(seat));
-        self.gone.retain(|seat| lists.lists(seat));
+        let seats = lists.seats();
+        self.confirmed.retain(|seat, _| seats.contains(seat));
+        self.gone.retain(|seat| seats.contains(seat));
     }
 
     fn learn(&mut self, heads: LogHeads) {
@@ -284,10 +297,8 @@
     }
 
     fn confirm(&mut self, seat: MemberSeat, position: LogPosition) {
-        if self.lists.lists(&seat) {
-            let confirmed = self.confirmed.entry(seat).or_default();
-            *confirmed = position.max(*confirmed);
-        }
+        let confirmed = self.confirmed.entry(seat).or_default();
+        *confirmed = position.max(*confirmed);
     }
 
     fn has_confirmed(&self, seat: &MemberSeat, position: LogPosition) -> bool {
@@ -309,20 +320,18 @@
     fn is_blocked(&self, position: LogPosition) -> bool {
         let counts =
             |seat: &MemberSeat| self.gone.contains(seat) || self.has_confirmed(seat, position);
-        // Daemons that still use the previous list may be fresh until the current one is in force.
-        let settled = self.lists.may_change(self.heads.in_force);
-        self.lists.current.is_blocked(counts) && (settled || self.lists.previous.is_blocked(counts))
+        self.lists.in_use(self.heads.in_force).iter().all(|list| list.is_blocked(counts))
     }
 
     fn report(&self, now: ClockInstant) -> HeardReport {
-        let records = &self.lists.current.records;
+        let records = &self.lists.current().records;
         let confirmed = self.heads.followed;
         let level = |state: &SeatState| {
             state.heard.map_or(AgeLevel::UNHEARD, |at| AgeLevel::covering(now.since(at)))
         };
         let confirms = records.iter().map(|record| self.has_confirmed(&record.seat, confirmed));
         HeardReport {
-            list: self.lists.current.made_at,
+            list: self.lists.current().made_at,
             levels: self.seats.iter().map(level).collect(),
             confirmed,
             confirmed_bits: pack(confirms),
@@ -332,7 +341,7 @@
 
     fn merge(&mut self, report: &HeardReport, asked_at: ClockInstant) {
         let fits = report.levels.len() == self.seats.len();
-        if report.list != self.lists.current.made_at || !fits {
+        if report.list != self.lists.current().made_at || !fits {
             return;
         }
         for (index, state) in self.seats.iter_mut().enumerate() {
@@ -342,7 +351,7 @@
         }
         for index in 0..self.seats.len() {
             if bit(&report.confirmed_bits, index) {
-                let seat = self.lists.current.records[index].seat.clone();
+                let seat = self.lists.current().records[index].seat.clone();
                 self.confirm(seat, report.confirmed);
             }
         }
--- a/crates/decisions/src/membership.rs
+++ b/crates/decisions/src/membership.rs
@@ -83,20 +83,31 @@
     }
 }
 
-/// The newest member list and the one before it.
+/// Number of lists that are kept: the newest, and those that a fresh daemon may still use.
+pub const LISTS_KEPT: usize = 4;
+
+/// The newest member lists, oldest first.
 ///
-/// A list changes only once the change before is in force, so no daemon that is fresh uses an
-/// older one than these two.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct MemberLists {
-    /// The newest list.
-    pub current: MemberList,
-    /// The list before it.
-    pub previous: MemberList,
+/// The oldest one is dropped only once the list after it is in force; no daemon that is fresh
+/// uses it then.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct MemberLists(Vec<MemberList>);
+
+impl Default for MemberLists {
+    fn default() -> Self {
+        Self(vec![MemberList::default()])
+    }
 }
 
 impl MemberLists {
+    /// Returns the newest list.
+    ///
+    /// # Panics
+    /// Never panics: there is always a list.
+    pub fn current(&self) -> &MemberList {
+        self.0.last().expect("there is always a list")
+    }
+
     /// Returns the lists after the change that the entry at `position` makes.
     #[must_use]
     pub fn changed(
@@ -105,18 +116,27 @@
         joined: &[MemberRecord],
         removed: &[MemberSeat],
     ) -> Self {
-        let current = self.current.changed(position, joined, removed);
-        Self { current, previous: self.current.clone() }
+        let dropped = (self.0.len() + 1).saturating_sub(LISTS_KEPT);
+        let mut lists = self.0[dropped..].to_vec();
+        lists.push(self.current().changed(position, joined, removed));
+        Self(lists)
     }
 
     /// Tells whether the list may change again, given the newest entry known to be in force.
     pub fn may_change(&self, in_force: LogPosition) -> bool {
-        self.current.made_at <= in_force
+        self.0.len() < LISTS_KEPT || self.0[1].made_at <= in_force
+    }
+
+    /// Returns the lists that a fresh daemon may use while `in_force` is the newest entry known
+    /// to be in force.
+    pub fn in_use(&self, in_force: LogPosition) -> &[MemberList] {
+        let settled = self.0.iter().rposition(|list| list.made_at <= in_force);
+        &self.0[settled.unwrap_or(0)..]
     }
 
-    /// Tells whether `seat` is in either list.
-    pub fn lists(&self, seat: &MemberSeat) -> bool {
-        self.current.index_of(seat).is_some() || self.previous.index_of(seat).is_some()
+    /// Returns the seats of all lists.
+    pub fn seats(&self) -> BTreeSet<&MemberSeat> {
+        self.0.iter().flat_map(|list| &list.records).map(|record| &record.seat).collect()
     }
 }
 
@@ -130,16 +150,12 @@
     /// Takes in one answer of the platform's host list, asked for at `asked_at`.
     pub fn observe(
         &mut self,
-        members: &MemberList,
-        listed: &BTreeSet<HostId>,
+        lists: &MemberLists,
+        present: &BTreeSet<HostId>,
         asked_at: ClockInstant,
     ) {
-        let absent: BTreeSet<&HostId> = members
-            .records
-            .iter()
-            .map(|record| &record.seat.host)
-            .filter(|host| !listed.contains(host))
-            .collect();
+        let hosts = lists.seats().into_iter().map(|seat| &seat.host);
+        let absent: BTreeSet<&HostId> = hosts.filter(|host| !present.contains(host)).collect();
         self.since.retain(|host, _| absent.contains(host));
         for host in absent {
             self.since.entry(host.clone()).or_insert(asked_at);
@@ -150,7 +166,7 @@
     /// to a question asked at `asked_at`, and that were not `heard` for as long either.
     pub fn gone<H>(
         &self,
-        members: &MemberList,
+        lists: &MemberLists,
         asked_at: ClockInstant,
         heard: H,
     ) -> BTreeSet<MemberSeat>
@@ -160,7 +176,7 @@
         let long = |since: ClockInstant| asked_at.since(since) > ABSENCE_BOUND;
         let absent = |seat: &MemberSeat| self.since.get(&seat.host).copied().is_some_and(long);
         let silent = |seat: &MemberSeat| heard(seat).is_none_or(long);
-        let seats = members.records.iter().map(|record| &record.seat);
+        let seats = lists.seats().into_iter();
         seats.filter(|seat| absent(seat) && silent(seat)).cloned().collect()
     }
 }
--- a/crates/decisions/src/rounds.rs
+++ b/crates/decisions/src/rounds.rs
@@ -71,8 +71,8 @@
     /// Plans the round at `now`.
     pub fn plan(&mut self, machine: &FreshnessMachine, now: ClockInstant) -> RoundPlan {
         self.round += 1;
-        self.choose_readers(&machine.lists().current);
-        let members = machine.lists().current.records.len();
+        self.choose_readers(machine.lists().current());
+        let members = machine.lists().current().records.len();
         RoundPlan {
             ask: self.choose_peer(machine, now),
             wants_heard: members <= SMALL_LIST || self.round.is_multiple_of(2),
@@ -101,6 +101,11 @@
         self.random.random()
     }
 
+    /// Returns a random share between 0 and 1.
+    pub fn random_share(&mut self) -> f64 {
+        self.random.random()
+    }
+
     fn choose_readers(&mut self, list: &MemberList) {
         if self.readers_of == Some(list.made_at) {
             return;
@@ -122,7 +127,7 @@
         }
         let alive = alive_peers(machine, now);
         if alive.is_empty() || self.round.is_multiple_of(PROBE_EVERY) {
-            let records = machine.lists().current.records.iter();
+            let records = machine.lists().current().records.iter();
             let hosts: Vec<&HostId> =
                 records.map(|record| &record.seat.host).filter(|host| *host != own).collect();
             return pick(&mut self.random, &hosts).cloned();
@@ -146,7 +151,7 @@
 }
 
 fn alive_peers(machine: &FreshnessMachine, now: ClockInstant) -> Vec<&MemberSeat> {
-    let seats = machine.lists().current.records.iter().map(|record| &record.seat);
+    let seats = machine.lists().current().records.iter().map(|record| &record.seat);
     seats.filter(|seat| *seat != machine.own() && machine.is_alive(seat, now)).collect()
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,19 +5,31 @@
 pub mod administration;
 pub mod clock;
 pub mod configuration;
+mod configuration_log;
+pub mod control;
+pub mod document_edits;
+mod gossip;
 pub mod local;
+pub mod log_state;
+pub mod log_store;
+mod members;
+pub mod node;
 pub mod peers;
 pub mod ports;
 pub mod timer;
+pub mod transport;
 
 pub use administration::{
     AdministrationPorts, ChangeProgress, ChangeRecord, ProposalError, ProposedChange,
 };
 pub use clock::boot_clock;
 pub use configuration::{ConfigurationFeed, ConfigurationSnapshot};
+pub use control::AppendError;
+pub use node::{FleetNode, NodeError, NodePlatform, NodeSettings};
 pub use peers::{MemberFeed, MemberInfo, MemberView, PeerDelivery, PeerInbox, PeerSender};
 pub use ports::{
     CallOutcome, ChargeReceipt, ChargeRefusal, ChargeRequest, DispatchPermit, FleetPorts,
     FreshnessState, PermitRefusal, PermitRequest,
 };
 pub use timer::{TimerService, TimerSubscription};
+pub use transport::{InboxKind, PeerTransport};
--- /dev/null
+++ b/crates/fleet/src/members.rs
@@ -0,0 +1,224 @@
+//! Joins the member list, leaves it, and removes members that are gone.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterellane_decisions::membership::{MemberLists, REMOVAL_BATCH};
+use dotterellane_decisions::rendezvous::role_holder;
+use dotterellane_platform::{RowWrite, TableTransaction};
+use dotterellane_protocol::{LogBody, LogPosition, MemberRecord, MemberSeat};
+use dotterellane_units::{HostId, RequestId};
+use tokio::time::sleep;
+
+use crate::control::{AppendError, ControlState, FleetControl};
+use crate::log_store::{LogError, bounded, decode, encode};
+use crate::{MemberInfo, MemberView};
+
+/// Time between looks at whether this daemon is listed.
+pub(crate) const JOIN_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time between reads of the platform's host list.
+pub(crate) const TEND_PERIOD: Duration = Duration::from_secs(2);
+
+/// Members that one entry lists at most.
+const JOIN_BATCH: usize = 64;
+
+/// How often a leaving daemon tries to have its seat removed.
+const LEAVE_ATTEMPTS: usize = 10;
+
+/// Time between those attempts.
+const LEAVE_PAUSE: Duration = Duration::from_millis(500);
+
+const JOINING_PREFIX: &str = "joining/";
+
+/// Why a member change is not made now.
+enum MemberRefusal {
+    /// It has been made already.
+    Done,
+    /// Earlier changes are not in force yet.
+    Unsettled,
+}
+
+impl FleetControl {
+    /// Joins the member list if this daemon is not in it.
+    pub(crate) fn keep_joined(self: &Arc<Self>) {
+        let wanted = {
+            let state = self.state();
+            let heads = state.machine.heads();
+            let may_change = state.machine.lists().may_change(heads.in_force);
+            !state.leaving && !state.machine.is_listed() && may_change
+        };
+        if wanted && self.joining.raise() {
+            self.spawn(
+                |control| async move { control.join().await },
+                |control| control.joining.lower(),
+            );
+        }
+    }
+
+    async fn join(self: Arc<Self>) -> Result<(), LogError> {
+        let own = encode(joining_key(&self.record.seat.host), &self.record)?;
+        let announcement = TableTransaction { conditions: Vec::new(), writes: vec![own] };
+        let table = self.store.table();
+        bounded("announce member", table.commit(announcement)).await?;
+        let rows = bounded("scan joining", table.scan(JOINING_PREFIX)).await?;
+        let joining: Vec<MemberRecord> =
+            rows.iter().map(|row| decode("scan joining", row)).collect::<Result<_, _>>()?;
+        let in_force = self.in_force();
+        let appended = self.append(new_change(&self), |snapshot| {
+            if !snapshot.lists.may_change(in_force) {
+                return Err(MemberRefusal::Unsettled);
+            }
+            let joined = joinable(&snapshot.lists, &joining);
+            if joined.is_empty() {
+                return Err(MemberRefusal::Done);
+            }
+            let writes = joined.iter().flat_map(join_writes).collect();
+            let extra = TableTransaction { conditions: Vec::new(), writes };
+            Ok((LogBody::Members { joined, removed: Vec::new() }, extra))
+        });
+        accepted(appended.await)
+    }
+
+    /// Says that this daemon leaves, and has its seat removed from the list.
+    pub(crate) async fn leave(self: &Arc<Self>) {
+        {
+            let mut state = self.state();
+            state.leaving = true;
+            state.machine.set_leaving();
+        }
+        for _ in 0..LEAVE_ATTEMPTS {
+            let own = BTreeSet::from([self.record.seat.clone()]);
+            // A seat that stays is removed once the platform's list has left the host out.
+            if self.remove(&own).await.is_ok() && !self.state().machine.is_listed() {
+                return;
+            }
+            sleep(LEAVE_PAUSE).await;
+        }
+    }
+
+    /// Removes the members that are gone, if that is this daemon's role.
+    pub(crate) fn tend(self: &Arc<Self>) {
+        let tends = {
+            let state = self.state();
+            let now = self.clock.now();
+            let records = state.machine.lists().current().records.iter();
+            let alive = records.filter(|record| state.machine.is_alive(&record.seat, now));
+            let hosts = alive.map(|record| &record.seat.host);
+            role_holder("member-list", "", hosts) == Some(&self.record.seat.host)
+        };
+        if tends && self.tending.raise() {
+            self.spawn(
+                |control| async move { control.remove_gone().await },
+                |control| control.tending.lower(),
+            );
+        }
+    }
+
+    async fn remove_gone(self: Arc<Self>) -> Result<(), LogError> {
+        let asked_at = self.clock.now();
+        let present: BTreeSet<HostId> = bounded("list hosts", self.hosts.list())
+            .await?
+            .into_iter()
+            .map(|listed| listed.host)
+            .collect();
+        let gone = {
+            let mut guard = self.state();
+            let state = &mut *guard;
+            let lists = state.machine.lists().clone();
+            state.absence.observe(&lists, &present, asked_at);
+            let machine = &state.machine;
+            let gone = state.absence.gone(&lists, asked_at, |seat| machine.heard_at(seat));
+            state.machine.note_gone(gone.clone(), self.clock.now());
+            gone
+        };
+        if gone.is_empty() {
+            return Ok(());
+        }
+        self.remove(&gone).await
+    }
+
+    async fn remove(self: &Arc<Self>, seats: &BTreeSet<MemberSeat>) -> Result<(), LogError> {
+        let in_force = self.in_force();
+        let appended = self.append(new_change(self), |snapshot| {
+            if !snapshot.lists.may_change(in_force) {
+                return Err(MemberRefusal::Unsettled);
+            }
+            let listed = |seat: &&MemberSeat| snapshot.lists.current().index_of(seat).is_some();
+            let removed: Vec<MemberSeat> =
+                seats.iter().filter(listed).take(REMOVAL_BATCH).cloned().collect();
+            if removed.is_empty() {
+                return Err(MemberRefusal::Done);
+            }
+            let writes =
+                removed.iter().map(|seat| RowWrite { key: member_key(&seat.host), value: None });
+            let extra = TableTransaction { conditions: Vec::new(), writes: writes.collect() };
+            Ok((LogBody::Members { joined: Vec::new(), removed }, extra))
+        });
+        accepted(appended.await)
+    }
+
+    fn in_force(&self) -> LogPosition {
+        self.state().machine.heads().in_force
+    }
+
+    /// Publishes the members as they are seen now.
+    pub(crate) fn publish_members(&self, state: &ControlState) {
+        let now = self.clock.now();
+        let machine = &state.machine;
+        let info = |record: &MemberRecord| MemberInfo {
+            host: record.seat.host.clone(),
+            incarnation: record.seat.incarnation,
+            domain: record.domain.clone(),
+            alive: machine.is_alive(&record.seat, now),
+            leaving: machine.is_leaving(&record.seat)
+                || (state.leaving && record.seat == self.record.seat),
+        };
+        let members = machine.lists().current().records.iter().map(info).collect();
+        self.members.send_if_modified(|known| {
+            let changed = known.members != members;
+            if changed {
+                *known = Arc::new(MemberView { members });
+            }
+            changed
+        });
+    }
+}
+
+/// Returns the joining members that are not listed and not superseded.
+fn joinable(lists: &MemberLists, joining: &[MemberRecord]) -> Vec<MemberRecord> {
+    let newer = |record: &&MemberRecord| {
+        let listed = lists.current().find(&record.seat.host);
+        listed.is_none_or(|listed| listed.seat.incarnation < record.seat.incarnation)
+    };
+    joining.iter().filter(newer).take(JOIN_BATCH).cloned().collect()
+}
+
+fn join_writes(record: &MemberRecord) -> Vec<RowWrite> {
+    let host = &record.seat.host;
+    let listed = encode(member_key(host), record).ok();
+    let announced = RowWrite { key: joining_key(host), value: None };
+    listed.into_iter().chain([announced]).collect()
+}
+
+fn accepted<T>(appended: Result<T, AppendError<MemberRefusal>>) -> Result<(), LogError> {
+    match appended {
+        Ok(_) | Err(AppendError::Refused(MemberRefusal::Done | MemberRefusal::Unsettled)) => Ok(()),
+        Err(AppendError::Down(error) | AppendError::Unknown(error)) => Err(error),
+    }
+}
+
+fn new_change(control: &FleetControl) -> RequestId {
+    let mut state = control.state();
+    let (high, low) = (state.planner.call_number(), state.planner.call_number());
+    RequestId(u128::from(high) << 64 | u128::from(low))
+}
+
+fn member_key(host: &HostId) -> String {
+    format!("members/{host}")
+}
+
+fn joining_key(host: &HostId) -> String {
+    format!("{JOINING_PREFIX}{host}")
+}
--- /dev/null
+++ b/crates/fleet/src/transport.rs
@@ -0,0 +1,254 @@
+//! Sealed datagrams between daemons over one UDP socket.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use dotterellane_protocol::{
+    EnvelopeKey, EnvelopeOpener, EnvelopeSealer, MAX_DATAGRAM_BYTES, MemberSeat, PeerMessage,
+};
+use dotterellane_units::{HostId, HostIncarnation};
+use prometheus::{IntCounterVec, Opts, Registry};
+use rustix::net::sockopt::{set_socket_recv_buffer_size, set_socket_send_buffer_size};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::{PeerDelivery, PeerInbox, PeerSender};
+
+/// Messages that one part may leave waiting; more are dropped and counted.
+pub const INBOX_BOUND: usize = 1_024;
+
+/// Bytes that the kernel may hold for the socket in each direction.
+pub const SOCKET_BUFFER_BYTES: usize = 1 << 20;
+
+/// Part of the daemon that a message is for.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum InboxKind {
+    /// Membership, freshness and the log of changes.
+    Gossip,
+    /// Team shares.
+    Shares,
+    /// Dispatchers.
+    Dispatch,
+    /// Wakes and keepers.
+    Placement,
+}
+
+const INBOX_KINDS: [InboxKind; 4] =
+    [InboxKind::Gossip, InboxKind::Shares, InboxKind::Dispatch, InboxKind::Placement];
+
+impl InboxKind {
+    /// Returns the kind of `message`.
+    pub fn of(message: &PeerMessage) -> Self {
+        match message {
+            PeerMessage::Gossip(_) => Self::Gossip,
+            PeerMessage::Shares(_) => Self::Shares,
+            PeerMessage::Dispatch(_) => Self::Dispatch,
+            PeerMessage::Placement(_) => Self::Placement,
+        }
+    }
+
+    /// Returns the kind as a metric label.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Gossip => "gossip",
+            Self::Shares => "shares",
+            Self::Dispatch => "dispatch",
+            Self::Placement => "placement",
+        }
+    }
+}
+
+struct TransportMetrics {
+    bytes: IntCounterVec,
+    messages: IntCounterVec,
+    refused: IntCounterVec,
+    dropped: IntCounterVec,
+}
+
+impl TransportMetrics {
+    fn register(registry: &Registry) -> prometheus::Result<Self> {
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let labels = ["direction", "kind"];
+        Ok(Self {
+            bytes: counter(
+                "dotterellane_control_bytes_total",
+                "Bytes of datagrams between daemons, without IP and UDP headers.",
+                &labels,
+            )?,
+            messages: counter(
+                "dotterellane_control_messages_total",
+                "Datagrams between daemons.",
+                &labels,
+            )?,
+            refused: counter(
+                "dotterellane_control_refused_total",
+                "Datagrams that were not opened.",
+                &["reason"],
+            )?,
+            dropped: counter(
+                "dotterellane_control_dropped_total",
+                "Messages dropped before they were sent or handled.",
+                &["reason"],
+            )?,
+        })
+    }
+
+    fn count(&self, direction: &str, kind: InboxKind, length: usize) {
+        let labels = [direction, kind.label()];
+        self.bytes.with_label_values(&labels).inc_by(u64::try_from(length).unwrap_or(0));
+        self.messages.with_label_values(&labels).inc();
+    }
+
+    fn drop_one(&self, reason: &str) {
+        self.dropped.with_label_values(&[reason]).inc();
+    }
+}
+
+/// Sends and receives the messages of one daemon. Clones share the same socket.
+#[derive(Clone)]
+pub struct PeerTransport(Arc<TransportState>);
+
+struct TransportState {
+    own: MemberSeat,
+    socket: UdpSocket,
+    sealer: Mutex<EnvelopeSealer>,
+    addresses: Mutex<BTreeMap<HostId, (HostIncarnation, SocketAddr)>>,
+    inboxes: BTreeMap<InboxKind, mpsc::Sender<PeerDelivery>>,
+    metrics: TransportMetrics,
+}
+
+impl PeerTransport {
+    /// Binds the socket and starts to receive until `stopped`; returns the inboxes by kind.
+    ///
+    /// # Errors
+    /// Fails if the socket cannot be bound or a metric is registered already.
+    pub async fn start(
+        own: MemberSeat,
+        bind: SocketAddr,
+        secret: &[u8],
+        registry: &Registry,
+        stopped: CancellationToken,
+    ) -> io::Result<(Self, BTreeMap<InboxKind, PeerInbox>)> {
+        let socket = UdpSocket::bind(bind).await?;
+        set_socket_recv_buffer_size(&socket, SOCKET_BUFFER_BYTES)?;
+        set_socket_send_buffer_size(&socket, SOCKET_BUFFER_BYTES)?;
+        let key = EnvelopeKey::derive(secret);
+        let (mut inboxes, mut receivers) = (BTreeMap::new(), BTreeMap::new());
+        for kind in INBOX_KINDS {
+            let (inbox, receiver) = mpsc::channel(INBOX_BOUND);
+            inboxes.insert(kind, inbox);
+            receivers.insert(kind, receiver);
+        }
+        let state = TransportState {
+            sealer: Mutex::new(EnvelopeSealer::new(key.clone(), own.host.clone(), own.incarnation)),
+            own: own.clone(),
+            socket,
+            addresses: Mutex::default(),
+            inboxes,
+            metrics: TransportMetrics::register(registry).map_err(io::Error::other)?,
+        };
+        let transport = Self(Arc::new(state));
+        let receiving = transport.clone();
+        let opener = EnvelopeOpener::new(key, own.host);
+        tokio::spawn(async move { stopped.run_until_cancelled(receiving.receive(opener)).await });
+        Ok((transport, receivers))
+    }
+
+    /// Returns the address that the socket is bound to.
+    ///
+    /// # Errors
+    /// Fails if the operating system does not tell.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.0.socket.local_addr()
+    }
+
+    /// Sets where `seat` receives, unless that or a later incarnation of its host told already.
+    pub fn suggest_address(&self, seat: &MemberSeat, address: SocketAddr) {
+        let mut addresses = self.addresses();
+        if addresses.get(&seat.host).is_none_or(|known| known.0 < seat.incarnation) {
+            addresses.insert(seat.host.clone(), (seat.incarnation, address));
+        }
+    }
+
+    /// Returns a sender over this transport.
+    pub fn sender(&self) -> PeerSender {
+        let transport = self.clone();
+        PeerSender::new(move |host, message| transport.send(host, message))
+    }
+
+    /// Sends `message` without waiting; it is dropped and counted if it cannot be sent now.
+    pub fn send(&self, host: &HostId, message: PeerMessage) {
+        let state = &*self.0;
+        if *host == state.own.host {
+            self.deliver(PeerDelivery {
+                from: host.clone(),
+                incarnation: state.own.incarnation,
+                message,
+            });
+            return;
+        }
+        let Some((_, address)) = self.addresses().get(host).copied() else {
+            state.metrics.drop_one("no_address");
+            return;
+        };
+        let kind = InboxKind::of(&message);
+        let sealed = lock(&state.sealer).seal(host, message);
+        let Ok(datagram) = sealed else {
+            state.metrics.drop_one("too_long");
+            return;
+        };
+        match state.socket.try_send_to(&datagram, address) {
+            Ok(length) => state.metrics.count("sent", kind, length),
+            Err(_) => state.metrics.drop_one("socket"),
+        }
+    }
+
+    fn addresses(&self) -> MutexGuard<'_, BTreeMap<HostId, (HostIncarnation, SocketAddr)>> {
+        lock(&self.0.addresses)
+    }
+
+    fn deliver(&self, delivery: PeerDelivery) {
+        let kind = InboxKind::of(&delivery.message);
+        let Some(inbox) = self.0.inboxes.get(&kind) else { return };
+        if inbox.try_send(delivery).is_err() {
+            self.0.metrics.drop_one("inbox");
+        }
+    }
+
+    async fn receive(&self, mut opener: EnvelopeOpener) {
+        let state = &*self.0;
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
+        loop {
+            // An error here is about an earlier datagram of ours, such as a closed port.
+            let Ok((length, source)) = state.socket.recv_from(&mut buffer).await else {
+                state.metrics.drop_one("socket");
+                tokio::task::yield_now().await;
+                continue;
+            };
+            match opener.open(&buffer[..length]) {
+                Ok(content) => {
+                    state.metrics.count("received", InboxKind::of(&content.message), length);
+                    // The opener lets no earlier incarnation through once it heard a later one.
+                    self.addresses().insert(content.from.clone(), (content.incarnation, source));
+                    self.deliver(PeerDelivery {
+                        from: content.from,
+                        incarnation: content.incarnation,
+                        message: content.message,
+                    });
+                }
+                Err(error) => state.metrics.refused.with_label_values(&[error.label()]).inc(),
+            }
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/protocol/src/gossip.rs
+++ b/crates/protocol/src/gossip.rs
@@ -186,13 +186,6 @@
     EntryWanted(LogPosition),
     /// Tells an author how far the sender is.
     Confirmation(LogHeads),
-    /// Tells where the sender receives datagrams, until its row is known.
-    Hello {
-        /// The sender, as its row will say.
-        record: MemberRecord,
-        /// Whether the receiver shall answer with its own.
-        wants_answer: bool,
-    },
 }
 
 /// The age of a hearing in one byte, never rounded down.
