Test a daemon's control over loopback

Cause: nothing showed that daemons follow one log through lost answers, outages of the table and departures. Change: tests over real sockets and a platform kept in memory; they wait for conditions and assert no times.

--- /dev/null
+++ b/crates/fleet/tests/node.rs
@@ -0,0 +1,216 @@
+//! Several daemons on loopback follow one log over a platform kept in memory.
+
+use std::future::Future;
+use std::time::Duration;
+
+use dotterellane_fleet::{
+    FleetNode, FreshnessState, InboxKind, NodePlatform, NodeSettings, ProposalError,
+    ProposedChange, TimerService, boot_clock, node,
+};
+use dotterellane_platform::memory::{MemoryPlatform, PlatformFault};
+use dotterellane_settings::document::{ConfigurationDocument, TeamEntry};
+use dotterellane_units::{ConfigVersion, RequestId, TokenCount};
+use googletest::prelude::*;
+use prometheus::Registry;
+
+/// Far beyond what any step takes; a test that waits for it has failed.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+struct Fleet {
+    platform: MemoryPlatform,
+    timers: TimerService,
+    nodes: Vec<FleetNode>,
+}
+
+impl Fleet {
+    async fn start(count: usize) -> Self {
+        let (platform, timers) = (MemoryPlatform::default(), TimerService::default());
+        let mut fleet = Self { platform, timers, nodes: Vec::new() };
+        for index in 0..count {
+            fleet.add(&format!("host-{index}")).await;
+        }
+        fleet
+    }
+
+    async fn add(&mut self, host: &str) {
+        let settings = NodeSettings {
+            host: host.parse().unwrap(),
+            domain: "dub-north".parse().unwrap(),
+            peers: "127.0.0.1:0".parse().unwrap(),
+            secret: b"secret".to_vec(),
+        };
+        let platform = NodePlatform {
+            table: self.platform.table(),
+            objects: self.platform.objects(),
+            hosts: self.platform.host_list(),
+        };
+        let registry = Registry::new();
+        let started = node::start(settings, platform, boot_clock(), &self.timers, &registry);
+        self.nodes.push(started.await.unwrap());
+    }
+
+    fn all<C>(&self, condition: C) -> bool
+    where
+        C: Fn(&FleetNode) -> bool,
+    {
+        self.nodes.iter().all(condition)
+    }
+
+    async fn see_each_other(&self) {
+        let count = self.nodes.len();
+        until(|| self.all(|node| node.members.borrow().serving().count() == count)).await;
+    }
+}
+
+async fn until<C>(condition: C)
+where
+    C: Fn() -> bool,
+{
+    let waiting = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.expect("the condition comes to hold");
+}
+
+fn run<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    tokio::runtime::Runtime::new().unwrap().block_on(test);
+}
+
+fn change(number: u128, expected: u64, team: &str) -> ProposedChange {
+    let mut document = ConfigurationDocument::default();
+    let entry = TeamEntry { rate: "100/s".parse().unwrap(), burst: TokenCount(100) };
+    document.teams.insert(team.parse().unwrap(), entry);
+    ProposedChange {
+        change: RequestId(number),
+        expected: ConfigVersion(expected),
+        operator: "ana".parse().unwrap(),
+        summary: format!("team {team}"),
+        document,
+    }
+}
+
+#[gtest]
+fn propose_followed_and_in_force() {
+    run(async {
+        let fleet = Fleet::start(3).await;
+        fleet.see_each_other().await;
+        let record = fleet.nodes[1].administration.propose(change(1, 0, "a")).await.unwrap();
+        expect_that!(record.version, eq(ConfigVersion(1)));
+        let follows = |node: &FleetNode| {
+            node.ports.configuration.current().document == change(1, 0, "a").document
+        };
+        until(|| fleet.all(follows)).await;
+        let in_force = |node: &FleetNode| node.administration.progress(ConfigVersion(1)).in_force;
+        until(|| fleet.all(in_force)).await;
+        let history = fleet.nodes[2].administration.history(5).await.unwrap();
+        expect_that!(history, elements_are![eq(&record)]);
+        let content = fleet.nodes[0].administration.content(ConfigVersion(1)).await.unwrap();
+        expect_that!(content.unwrap().document, eq(&change(1, 0, "a").document));
+    });
+}
+
+#[gtest]
+fn propose_raced() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        let ports: Vec<_> = fleet.nodes.iter().map(|node| &node.administration).collect();
+        ports[0].propose(change(1, 0, "a")).await.unwrap();
+        let late = ports[1].propose(change(2, 0, "b")).await;
+        let Err(ProposalError::Raced { current }) = late else { panic!("accepted: {late:?}") };
+        expect_that!(current.version, eq(ConfigVersion(1)));
+        ports[1].propose(change(3, 1, "b")).await.unwrap();
+    });
+}
+
+#[gtest]
+fn propose_answer_lost() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        let administration = &fleet.nodes[0].administration;
+        fleet.platform.set_fault(PlatformFault::CommitAnswersLost);
+        let record = administration.propose(change(1, 0, "a")).await.unwrap();
+        let again = administration.propose(change(1, 0, "a")).await.unwrap();
+        expect_that!(again, eq(&record));
+        expect_that!(administration.history(5).await.unwrap(), elements_are![eq(&record)]);
+    });
+}
+
+#[gtest]
+fn propose_table_down() {
+    run(async {
+        let fleet = Fleet::start(3).await;
+        fleet.see_each_other().await;
+        fleet.platform.set_fault(PlatformFault::Down);
+        let refused = fleet.nodes[0].administration.propose(change(1, 0, "a")).await;
+        expect_that!(refused, err(matches_pattern!(ProposalError::TableDown { .. })));
+        // Longer than evidence of the table lasts.
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        until(|| fleet.all(|node| node.ports.freshness() == FreshnessState::Fresh)).await;
+        fleet.platform.set_fault(PlatformFault::None);
+        fleet.nodes[0].administration.propose(change(1, 0, "a")).await.unwrap();
+    });
+}
+
+#[gtest]
+fn freshness_alone_table_down() {
+    run(async {
+        let mut fleet = Fleet::start(3).await;
+        fleet.see_each_other().await;
+        fleet.platform.set_fault(PlatformFault::Down);
+        fleet.nodes.truncate(1);
+        until(|| fleet.all(|node| node.ports.freshness() == FreshnessState::Stale)).await;
+    });
+}
+
+#[gtest]
+fn members_left_and_gone() {
+    run(async {
+        let mut fleet = Fleet::start(3).await;
+        fleet.see_each_other().await;
+        let leaver = fleet.nodes.pop().unwrap();
+        leaver.leave().await;
+        leaver.shutdown();
+        until(|| fleet.all(|node| node.members.borrow().members.len() == 2)).await;
+        // The second one vanishes: it is removed once the platform's list has left it out.
+        fleet.nodes.pop();
+        until(|| fleet.all(|node| node.members.borrow().members.len() == 1)).await;
+    });
+}
+
+#[gtest]
+fn take_inbox_once() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        let node = &fleet.nodes[0];
+        for kind in [InboxKind::Shares, InboxKind::Dispatch, InboxKind::Placement] {
+            expect_that!(node.take_inbox(kind).is_some(), eq(true));
+            expect_that!(node.take_inbox(kind).is_some(), eq(false));
+        }
+    });
+}
+
+#[gtest]
+fn start_late_from_snapshot() {
+    run(async {
+        let mut fleet = Fleet::start(1).await;
+        let first = &fleet.nodes[0];
+        for number in 0..200 {
+            let change = change(number + 1, u64::try_from(number).unwrap(), &format!("t{number}"));
+            first.administration.propose(change).await.unwrap();
+        }
+        let expected = first.ports.configuration.current();
+        let early = first.administration.content(ConfigVersion(100)).await.unwrap().unwrap();
+        expect_that!(early.document, eq(&change(100, 99, "t99").document));
+        let (reads_before, _) = fleet.platform.counts();
+        fleet.add("late").await;
+        let (reads, _) = fleet.platform.counts();
+        expect_that!(&fleet.nodes[1].ports.configuration.current(), eq(&expected));
+        // The head and one batch of entries after the snapshot; the first daemon reads meanwhile.
+        expect_that!(reads - reads_before, lt(20));
+    });
+}
