--- a/crates/protocol/src/shares.rs
+++ b/crates/protocol/src/shares.rs
@@ -3,5 +3,6 @@
 use serde::{Deserialize, Serialize};
 
 /// Pledges, grants and recalls of team shares.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum ShareMessage {}
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -19,7 +19,8 @@
 const OPERATOR_PREFIX: &str = "do_";
 
 /// A text that is not a key; it is not repeated here, since it may hold a secret.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Error)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Error)]
 #[error("the key is malformed; write {prefix}<id>_<secret> as it was issued")]
 pub struct KeyError {
     /// How keys of this kind start.
