--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,8 @@
+//! Load, policy, slope and fault experiments.
+
+pub mod cli;
+pub mod load;
+pub mod output;
+pub mod regression;
+pub mod target;
+pub mod trace;
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -7,9 +7,12 @@
 use dotterellane_units::RowVersion;
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
+use serde_with::base64::Base64;
+use serde_with::serde_as;
 use thiserror::Error;
 
 /// One row. Keys are paths such as `members/host-3`; a version grows with each write of its row.
+#[serde_as]
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct TableRow {
@@ -18,6 +21,7 @@
     /// Version of the row, at least 1.
     pub version: RowVersion,
     /// Content, `postcard` or JSON as its owner chooses.
+    #[serde_as(as = "Base64")]
     pub value: Vec<u8>,
 }
 
@@ -32,12 +36,14 @@
 }
 
 /// A write of one row.
+#[serde_as]
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct RowWrite {
     /// Key of the row.
     pub key: String,
     /// New content, or `None` to delete the row.
+    #[serde_as(as = "Option<Base64>")]
     pub value: Option<Vec<u8>>,
 }
 
