--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,4 +3,6 @@
 //! Each module is a state machine: time and events go in, messages and actions come out. The
 //! daemons and the scenarios run the same code.
 
+pub mod fairness;
 pub mod rendezvous;
+pub mod shares;
--- /dev/null
+++ b/crates/decisions/src/shares/waiting.rs
@@ -0,0 +1,136 @@
+//! Charges that wait for tokens at one entry.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use dotterellane_units::{ClockInstant, RequestId, TokenCount, TokenRate};
+
+/// Charges of one team that may wait at one entry.
+pub const MAX_WAITING_CHARGES: usize = 4_096;
+
+/// A charge that waits.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitingCharge {
+    /// Request that is charged for.
+    pub request: RequestId,
+    /// Tokens that it needs.
+    pub tokens: TokenCount,
+    /// When the caller must have been answered.
+    pub deadline: ClockInstant,
+    /// When the charge was asked for.
+    pub asked: ClockInstant,
+    /// When it was last found that the tokens come in time.
+    pub judged: ClockInstant,
+}
+
+/// When the tokens of all waiting charges will be there.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitEstimate {
+    /// Charges asked for later are not included.
+    pub asked_until: ClockInstant,
+    /// Wait of the last one that is included.
+    pub wait: Duration,
+    /// Rate at which tokens come.
+    pub rate: TokenRate,
+    /// Largest charge that can be met.
+    pub burst: TokenCount,
+}
+
+/// Charges of one team, first come first served.
+#[derive(Clone, Debug, Default)]
+pub struct WaitingQueue {
+    charges: VecDeque<WaitingCharge>,
+    total: TokenCount,
+}
+
+impl WaitingQueue {
+    /// Returns the tokens that all charges need.
+    pub fn total(&self) -> TokenCount {
+        self.total
+    }
+
+    /// Tells whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.charges.is_empty()
+    }
+
+    /// Returns the number of charges.
+    pub fn len(&self) -> usize {
+        self.charges.len()
+    }
+
+    /// Tells whether no further charge may wait.
+    pub fn is_full(&self) -> bool {
+        self.charges.len() >= MAX_WAITING_CHARGES
+    }
+
+    /// Adds a charge behind the others.
+    pub fn push(&mut self, charge: WaitingCharge) {
+        self.total += charge.tokens;
+        self.charges.push_back(charge);
+    }
+
+    /// Returns the charge that is served next.
+    pub fn front(&self) -> Option<&WaitingCharge> {
+        self.charges.front()
+    }
+
+    /// Removes the charge that is served next.
+    pub fn pop(&mut self) -> Option<WaitingCharge> {
+        let charge = self.charges.pop_front()?;
+        self.total = self.total - charge.tokens;
+        Some(charge)
+    }
+
+    /// Removes the charge of `request`.
+    pub fn withdraw(&mut self, request: RequestId) {
+        self.remove_if(|charge| charge.request == request);
+    }
+
+    /// Removes and returns the charges that `refused` picks.
+    pub fn remove_if<F>(&mut self, mut refused: F) -> Vec<WaitingCharge>
+    where
+        F: FnMut(&WaitingCharge) -> bool,
+    {
+        let mut removed = Vec::new();
+        self.charges.retain(|charge| {
+            let refuse = refused(charge);
+            if refuse {
+                removed.push(*charge);
+            }
+            !refuse
+        });
+        self.total = self.total - removed.iter().map(|charge| charge.tokens).sum();
+        removed
+    }
+
+    /// Removes the charges whose tokens do not come in time, each with when they would.
+    pub fn judge(
+        &mut self,
+        estimate: &WaitEstimate,
+        now: ClockInstant,
+    ) -> Vec<(WaitingCharge, Duration)> {
+        let included = |charge: &WaitingCharge| charge.asked <= estimate.asked_until;
+        let counted = self.charges.iter().filter(|charge| included(charge));
+        let mut behind: TokenCount = counted.map(|charge| charge.tokens).sum();
+        let mut saved = TokenCount(0);
+        let mut late = Vec::new();
+        self.charges.retain_mut(|charge| {
+            if !included(charge) {
+                return true;
+            }
+            behind = behind - charge.tokens;
+            let early = estimate.rate.time_for(behind + saved).unwrap_or_default();
+            let wait = estimate.wait.saturating_sub(early);
+            if charge.tokens <= estimate.burst && now + wait <= charge.deadline {
+                charge.judged = now;
+                return true;
+            }
+            saved += charge.tokens;
+            late.push((*charge, wait));
+            false
+        });
+        self.total = self.total - saved;
+        late
+    }
+}
--- a/crates/fleet/src/administration.rs
+++ b/crates/fleet/src/administration.rs
@@ -28,7 +28,8 @@
 }
 
 /// One accepted change, as history shows it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ChangeRecord {
     /// Version that the change made.
     pub version: ConfigVersion,
@@ -43,7 +44,8 @@
 }
 
 /// How far a version has come into force.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ChangeProgress {
     /// The version.
     pub version: ConfigVersion,
@@ -54,7 +56,8 @@
 }
 
 /// Why a change was not accepted.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 pub enum ProposalError {
     /// Another change came first.
     #[error("the document is at version {}, not at the expected one", current.version)]
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -46,7 +46,8 @@
 }
 
 /// Why a charge was refused.
-#[derive(Clone, Debug, Eq, PartialEq, Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
 pub enum ChargeRefusal {
     /// The team's share does not yield the tokens before the deadline.
     #[error("the team is over its rate; retry after {} s", retry_after.as_secs())]
@@ -106,7 +107,8 @@
 }
 
 /// Why no permit was given.
-#[derive(Clone, Debug, Eq, PartialEq, Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
 pub enum PermitRefusal {
     /// No replica will be ready, or free, before the deadline.
     #[error("{model} cannot run the request in time; retry after {} s", retry_after.as_secs())]
--- a/crates/platform/src/host_list.rs
+++ b/crates/platform/src/host_list.rs
@@ -11,7 +11,8 @@
 use crate::TableError;
 
 /// State of a host as the platform sees it, some seconds late.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ListedState {
     /// The host runs.
@@ -21,7 +22,8 @@
 }
 
 /// One host of the list. A host that is gone is not listed.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ListedHost {
     /// Name of the host.
     pub host: HostId,
--- a/crates/platform/src/object_store.rs
+++ b/crates/platform/src/object_store.rs
@@ -9,7 +9,8 @@
 use thiserror::Error;
 
 /// Why the object store did not do what was asked.
-#[derive(Clone, Debug, Eq, PartialEq, Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
 #[error("{step} {key}: object store at {peer}: {cause}")]
 pub struct ObjectError {
     /// What was asked.
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -10,7 +10,8 @@
 use thiserror::Error;
 
 /// One row. Keys are paths such as `members/host-3`; a version grows with each write of its row.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TableRow {
     /// Key of the row.
     pub key: String,
@@ -21,7 +22,8 @@
 }
 
 /// What a transaction requires of a row.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RowCondition {
     /// Key of the row.
     pub key: String,
@@ -30,7 +32,8 @@
 }
 
 /// A write of one row.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RowWrite {
     /// Key of the row.
     pub key: String,
@@ -39,7 +42,8 @@
 }
 
 /// Writes that take effect together if every condition holds.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TableTransaction {
     /// What must hold.
     pub conditions: Vec<RowCondition>,
@@ -48,7 +52,8 @@
 }
 
 /// How a transaction ended.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum CommitOutcome {
     /// It took effect; the versions of the written rows, in order, 0 for a deleted one.
     Committed(Vec<RowVersion>),
@@ -57,7 +62,8 @@
 }
 
 /// Why the table did not answer.
-#[derive(Clone, Debug, Eq, PartialEq, Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
 pub enum TableError {
     /// The table refused or could not be reached: nothing took effect.
     #[error("{step}: table at {peer} is unavailable: {cause}")]
--- a/crates/protocol/src/dispatch.rs
+++ b/crates/protocol/src/dispatch.rs
@@ -3,5 +3,6 @@
 use serde::{Deserialize, Serialize};
 
 /// Permits of a model's dispatcher.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum DispatchMessage {}
--- a/crates/protocol/src/gossip.rs
+++ b/crates/protocol/src/gossip.rs
@@ -3,5 +3,6 @@
 use serde::{Deserialize, Serialize};
 
 /// Membership, freshness and soft state.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum GossipMessage {}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -23,7 +23,8 @@
 pub const MAX_MESSAGE_BYTES: usize = 1_200;
 
 /// One message from one daemon to another.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum PeerMessage {
     /// Membership, freshness and soft state.
     Gossip(GossipMessage),
--- a/crates/protocol/src/placement.rs
+++ b/crates/protocol/src/placement.rs
@@ -3,5 +3,6 @@
 use serde::{Deserialize, Serialize};
 
 /// Wakes of models and keepers of runners.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum PlacementMessage {}
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Settings of one daemon.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct DaemonSettings {
     /// Name of the host.
@@ -33,7 +34,8 @@
 }
 
 /// Where the daemon listens.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
     /// Callers' HTTP.
@@ -45,7 +47,8 @@
 }
 
 /// Where the platform's services are.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Transactional table service.
@@ -57,7 +60,8 @@
 }
 
 /// Certificate and key, read again when the files change.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct TlsSettings {
     /// PEM file with the certificate chain.
@@ -67,7 +71,8 @@
 }
 
 /// Bounds on what one caller can take.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LimitSettings {
     /// Largest request body.
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -13,7 +13,8 @@
 use serde_with::{DurationSecondsWithFrac, serde_as};
 
 /// The whole configuration, as accepted under one version.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigurationDocument {
     /// Teams and their shares of the fleet.
@@ -40,7 +41,8 @@
 }
 
 /// A team: the callers that share one rate.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct TeamEntry {
     /// Tokens a second over all hosts together.
@@ -50,7 +52,8 @@
 }
 
 /// A caller's key `dk_<id>_<secret>`.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct KeyEntry {
     /// Team that requests with this key run for.
@@ -66,7 +69,8 @@
 }
 
 /// An operator of the fleet.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct OperatorEntry {
     /// What the operator may do.
@@ -76,9 +80,8 @@
 }
 
 /// What an operator may do; each role includes those before it.
-#[derive(
-    Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, JsonSchema, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OperatorRole {
     /// Reads the document and the state of the fleet.
@@ -90,7 +93,8 @@
 }
 
 /// Who may call a model, adapter or service.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CallerScope {
     /// Every team.
@@ -114,7 +118,8 @@
 
 /// A model that runners may load.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ModelEntry {
     /// Version that new loads take.
@@ -147,7 +152,8 @@
 }
 
 /// An adapter of a model.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct AdapterEntry {
     /// Base model.
@@ -163,7 +169,8 @@
 
 /// A plain service.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceEntry {
     /// Who may call the service.
@@ -186,7 +193,8 @@
 }
 
 /// Whether a call may be sent again.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CallKind {
     /// Runs at most once for an idempotency key.
@@ -197,7 +205,8 @@
 }
 
 /// A runner or an instance of a plain service.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct UpstreamEntry {
     /// Address of its HTTP server.
@@ -213,7 +222,8 @@
 }
 
 /// What an upstream does.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum UpstreamRole {
     /// Serves models.
@@ -223,7 +233,8 @@
 }
 
 /// What is known of a runner beforehand.
-#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RunnerEntry {
     /// Accelerator memory.
--- a/crates/units/src/identifier.rs
+++ b/crates/units/src/identifier.rs
@@ -105,7 +105,8 @@
 }
 
 /// Names one request within the fleet; 128 random bits, shown as 32 hex digits.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct RequestId(pub u128);
 
 impl fmt::Display for RequestId {
--- a/crates/units/src/instant.rs
+++ b/crates/units/src/instant.rs
@@ -10,9 +10,8 @@
 /// A reading of one host's monotonic clock, in nanoseconds since an arbitrary origin.
 ///
 /// Readings of different hosts are not comparable.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct ClockInstant(pub u64);
 
 impl ClockInstant {
--- a/crates/units/src/parse.rs
+++ b/crates/units/src/parse.rs
@@ -3,7 +3,8 @@
 use thiserror::Error;
 
 /// Why a text is not the unit that was expected.
-#[derive(Clone, Debug, Eq, PartialEq, Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
 pub enum UnitError {
     /// An id is empty or longer than 63 bytes.
     #[error("{kind} must have 1 to 63 characters, but has {length}")]
--- a/crates/units/src/rate.rs
+++ b/crates/units/src/rate.rs
@@ -10,20 +10,8 @@
 use crate::{TokenCount, UnitError};
 
 /// Tokens a second, held in thousandths of a token a second; written `1500/s`.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    DeserializeFromStr,
-    JsonSchema,
-    SerializeDisplay,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(DeserializeFromStr, JsonSchema, SerializeDisplay)]
 pub struct TokenRate(#[schemars(with = "String")] u64);
 
 impl TokenRate {
--- a/crates/units/src/size.rs
+++ b/crates/units/src/size.rs
@@ -15,20 +15,8 @@
     [("TiB", 1 << 40), ("GiB", 1 << 30), ("MiB", 1 << 20), ("KiB", 1 << 10)];
 
 /// A size in bytes; written `16GiB`, `512MiB` or `100B`.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    DeserializeFromStr,
-    JsonSchema,
-    SerializeDisplay,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(DeserializeFromStr, JsonSchema, SerializeDisplay)]
 pub struct ByteSize(#[schemars(with = "String")] pub u64);
 
 impl ByteSize {
@@ -75,20 +63,8 @@
 }
 
 /// A number of tokens.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Deserialize,
-    JsonSchema,
-    Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(transparent)]
 pub struct TokenCount(pub u64);
 
