Run team shares in the daemon

Cause: the entry charges teams through the fleet's ports. Change: start_shares takes peers, members, configuration, table, clock and timers and gives the charge and refund calls; the slot keeper reads the slot map and moves slots by conditional transaction. Conclusion: the daemon can be wired against these signatures.

--- a/crates/decisions/src/shares/ledger.rs
+++ b/crates/decisions/src/shares/ledger.rs
@@ -332,8 +332,8 @@
         for (claimant, tokens) in self.claims.iter_mut().rev() {
             if claimant == entry {
                 let dropped = surplus.min(*tokens);
-                *tokens = *tokens - dropped;
-                surplus = surplus - dropped;
+                *tokens -= dropped;
+                surplus -= dropped;
             }
         }
         self.claims.retain(|(_, tokens)| *tokens > TokenCount(0));
@@ -406,7 +406,7 @@
                 continue;
             }
             if let Some((_, left)) = self.claims.front_mut() {
-                *left = *left - granted;
+                *left -= granted;
             }
             break;
         }
--- a/crates/decisions/src/shares/machine.rs
+++ b/crates/decisions/src/shares/machine.rs
@@ -403,7 +403,7 @@
             if charge.tokens > left {
                 return;
             }
-            left = left - charge.tokens;
+            left -= charge.tokens;
             if alone {
                 self.member.take(charge.tokens);
             } else {
--- a/crates/decisions/src/shares/waiting.rs
+++ b/crates/decisions/src/shares/waiting.rs
@@ -78,7 +78,7 @@
     /// Removes the charge that is served next.
     pub fn pop(&mut self) -> Option<WaitingCharge> {
         let charge = self.charges.pop_front()?;
-        self.total = self.total - charge.tokens;
+        self.total -= charge.tokens;
         Some(charge)
     }
 
@@ -100,7 +100,7 @@
             }
             !refuse
         });
-        self.total = self.total - removed.iter().map(|charge| charge.tokens).sum();
+        self.total -= removed.iter().map(|charge| charge.tokens).sum();
         removed
     }
 
@@ -119,7 +119,7 @@
             if !included(charge) {
                 return true;
             }
-            behind = behind - charge.tokens;
+            behind -= charge.tokens;
             let early = estimate.rate.time_for(behind + saved).unwrap_or_default();
             let wait = estimate.wait.saturating_sub(early);
             if charge.tokens <= estimate.burst && now + wait <= charge.deadline {
@@ -130,7 +130,7 @@
             late.push((*charge, wait));
             false
         });
-        self.total = self.total - saved;
+        self.total -= saved;
         late
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod local;
 pub mod peers;
 pub mod ports;
+pub mod shares;
 pub mod timer;
 
 pub use administration::{
--- /dev/null
+++ b/crates/fleet/src/shares.rs
@@ -0,0 +1,546 @@
+//! Team shares of this daemon: the share machine between peers, table, clock and entry.
+//!
+//! [`start_shares`] assumes of its caller that
+//!
+//! - a daemon is fresh only if it has confirmed every slot map that is in force, where confirming
+//!   is the call of [`ShareParts::confirm_slots`] with the version of the row [`SLOTS_KEY`];
+//! - a version is in force once every fresh daemon has confirmed it, and stays so;
+//! - [`ShareStanding`] is read at the moment of the call, not earlier.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::future::Future;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use dotterellane_decisions::rendezvous::{role_holder, role_weight};
+use dotterellane_decisions::shares::machine::ShareRefusal;
+use dotterellane_decisions::shares::{
+    ShareAction, ShareMachine, ShareStanding, ShareTimings, SlotMap, SlotOwner,
+};
+use dotterellane_platform::{
+    CommitOutcome, PlatformTable, RowCondition, RowWrite, TableError, TableTransaction,
+};
+use dotterellane_protocol::PeerMessage;
+use dotterellane_units::{ClockSource, HostId, RequestId, RowVersion, TeamId, TokenCount};
+use futures::future::BoxFuture;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use thiserror::Error;
+use tokio::sync::oneshot;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::{
+    ChargeReceipt, ChargeRefusal, ChargeRequest, ConfigurationFeed, MemberFeed, MemberView,
+    PeerInbox, PeerSender, TimerService, TimerSubscription,
+};
+
+/// Key of the row that holds the slot map.
+pub const SLOTS_KEY: &str = "shares/slots";
+
+/// Role under which the host that moves slots is found.
+const SLOT_KEEPER_ROLE: &str = "slot-keeper";
+
+/// How often the machine does what is due.
+const TICK_PERIOD: Duration = Duration::from_millis(25);
+
+/// How often it is checked whether the slot map must be read or changed.
+const SLOT_CHECK_PERIOD: Duration = Duration::from_secs(1);
+
+/// How often the slot map is read without cause.
+const SLOT_READ_PERIOD: Duration = Duration::from_secs(60);
+
+/// How long the members must ask for other owners before slots are moved.
+const SETTLING_SPAN: Duration = Duration::from_secs(5);
+
+type StandingCall = dyn Fn() -> SlotStanding + Send + Sync;
+type ConfirmCall = dyn Fn(RowVersion) + Send + Sync;
+
+/// What the caller knows of this daemon's standing and of the slot map's versions.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SlotStanding {
+    /// Whether the daemon knows all hard state that is in force.
+    pub fresh: bool,
+    /// Newest version of the slot map that is in force.
+    pub in_force: RowVersion,
+    /// Newest version of the slot map that was heard of.
+    pub head: RowVersion,
+}
+
+/// What shares are built from.
+pub struct ShareParts {
+    /// This host and its incarnation.
+    pub owner: SlotOwner,
+    /// Terms of pledges and credits.
+    pub timings: ShareTimings,
+    /// Clock that deadlines are read on.
+    pub clock: ClockSource,
+    /// Configuration with the teams' rates.
+    pub configuration: ConfigurationFeed,
+    /// Members that roles are assigned to.
+    pub members: MemberFeed,
+    /// Table that holds the slot map.
+    pub table: PlatformTable,
+    /// Sends to peers.
+    pub sender: PeerSender,
+    /// Share messages of peers.
+    pub inbox: PeerInbox,
+    /// Timer service of the daemon.
+    pub timers: TimerService,
+    /// Tells this daemon's standing now.
+    pub standing: Arc<StandingCall>,
+    /// Called when the daemon follows a version of the slot map.
+    pub confirm_slots: Arc<ConfirmCall>,
+    /// Registry of the daemon's metrics.
+    pub registry: Registry,
+}
+
+impl fmt::Debug for ShareParts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ShareParts").field("owner", &self.owner).finish_non_exhaustive()
+    }
+}
+
+/// Why the slot map could not be read or changed.
+#[derive(Debug, Error)]
+enum SlotError {
+    #[error("{step}: {cause}")]
+    Table { step: &'static str, cause: TableError },
+    #[error("decode slot map of version {version}: {cause}")]
+    Malformed { version: RowVersion, cause: postcard::Error },
+    #[error("encode slot map: {cause}")]
+    Encode { cause: postcard::Error },
+}
+
+struct ShareMetrics {
+    charges: IntCounterVec,
+    refunded: IntCounter,
+    messages: IntCounterVec,
+    granted: IntGauge,
+    recalls: IntGauge,
+    slots: IntGauge,
+    waiting: IntGauge,
+    slot_moves: IntCounterVec,
+}
+
+struct ShareState {
+    machine: ShareMachine,
+    answers: HashMap<RequestId, oneshot::Sender<Result<ChargeReceipt, ChargeRefusal>>>,
+    next_charge: u128,
+}
+
+struct ShareCore {
+    owner: SlotOwner,
+    clock: ClockSource,
+    sender: PeerSender,
+    standing: Arc<StandingCall>,
+    state: Mutex<ShareState>,
+    metrics: ShareMetrics,
+}
+
+/// The running shares of this daemon; clones share them, the last one to be dropped ends them.
+#[derive(Clone)]
+pub struct RunningShares {
+    core: Arc<ShareCore>,
+    _tasks: Arc<ShareTasks>,
+}
+
+struct ShareTasks {
+    _stopped: DropGuard,
+    _ticks: TimerSubscription,
+}
+
+/// Starts the shares of this daemon.
+///
+/// # Errors
+/// Fails if a metric of the same name is registered already.
+///
+/// # Panics
+/// Panics if called outside a `tokio` runtime.
+pub fn start_shares(parts: ShareParts) -> Result<RunningShares, prometheus::Error> {
+    let state = ShareState {
+        machine: ShareMachine::new(parts.owner.clone(), parts.timings),
+        answers: HashMap::new(),
+        next_charge: 0,
+    };
+    let core = Arc::new(ShareCore {
+        owner: parts.owner,
+        clock: parts.clock,
+        sender: parts.sender,
+        standing: parts.standing,
+        state: Mutex::new(state),
+        metrics: ShareMetrics::registered(&parts.registry)?,
+    });
+    core.follow_members(&parts.members.borrow().clone());
+    core.follow_teams(&parts.configuration);
+    let ticker = core.clone();
+    let ticks = parts.timers.subscribe(TICK_PERIOD, move || ticker.tick());
+    let stopped = CancellationToken::new();
+    spawn_until(&stopped, receive_messages(core.clone(), parts.inbox));
+    spawn_until(&stopped, follow_configuration(core.clone(), parts.configuration));
+    spawn_until(&stopped, follow_member_feed(core.clone(), parts.members.clone()));
+    let keeper = SlotKeeper {
+        core: core.clone(),
+        table: parts.table,
+        members: parts.members,
+        confirm: parts.confirm_slots,
+        version: RowVersion(0),
+        map: None,
+        wanted_for: Duration::ZERO,
+        read_before: SLOT_READ_PERIOD,
+    };
+    spawn_until(&stopped, keeper.run());
+    let tasks = ShareTasks { _stopped: stopped.drop_guard(), _ticks: ticks };
+    Ok(RunningShares { core, _tasks: Arc::new(tasks) })
+}
+
+fn spawn_until<F>(stopped: &CancellationToken, task: F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let stopped = stopped.clone();
+    tokio::spawn(async move { stopped.run_until_cancelled(task).await });
+}
+
+impl RunningShares {
+    /// Returns the call that charges a team, for [`crate::FleetPorts::with_shares`].
+    pub fn charge_call(
+        &self,
+    ) -> impl Fn(ChargeRequest) -> BoxFuture<'static, Result<ChargeReceipt, ChargeRefusal>>
+    + Send
+    + Sync
+    + use<> {
+        let shares = self.clone();
+        move |request| {
+            let shares = shares.clone();
+            Box::pin(async move { shares.charge(request).await })
+        }
+    }
+
+    /// Returns the call that refunds a charge, for [`crate::FleetPorts::with_shares`].
+    pub fn refund_call(&self) -> impl Fn(ChargeReceipt, TokenCount) + Send + Sync + use<> {
+        let shares = self.clone();
+        move |receipt, unused| shares.core.refund(&receipt.team, unused.min(receipt.tokens))
+    }
+
+    /// Charges a team; waits while the tokens will come in time. Dropping the future withdraws
+    /// the charge.
+    ///
+    /// # Errors
+    /// Fails if the share does not yield the tokens before the deadline.
+    pub async fn charge(&self, request: ChargeRequest) -> Result<ChargeReceipt, ChargeRefusal> {
+        let mut pending = self.core.charge(&request);
+        let answer = (&mut pending.answer).await;
+        answer.unwrap_or(Err(ChargeRefusal::Unreachable))
+    }
+}
+
+impl fmt::Debug for RunningShares {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("RunningShares")
+    }
+}
+
+/// A charge that was asked for; dropped before its answer is read, it is withdrawn or refunded.
+struct PendingCharge {
+    core: Arc<ShareCore>,
+    charge: RequestId,
+    team: TeamId,
+    answer: oneshot::Receiver<Result<ChargeReceipt, ChargeRefusal>>,
+}
+
+impl Drop for PendingCharge {
+    fn drop(&mut self) {
+        let mut state = self.core.state();
+        if state.answers.remove(&self.charge).is_some() {
+            state.machine.withdraw(self.charge, &self.team);
+            return;
+        }
+        drop(state);
+        if let Ok(Ok(receipt)) = self.answer.try_recv() {
+            self.core.refund(&receipt.team, receipt.tokens);
+        }
+    }
+}
+
+impl ShareCore {
+    fn state(&self) -> MutexGuard<'_, ShareState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs `step` on the machine at the current moment and standing, then does what it asks.
+    fn run<S>(&self, step: S)
+    where
+        S: FnOnce(&mut ShareMachine, dotterellane_units::ClockInstant) -> Vec<ShareAction>,
+    {
+        let mut state = self.state();
+        let now = self.clock.now();
+        let SlotStanding { fresh, in_force, .. } = (self.standing)();
+        let standing = ShareStanding { fresh, slots_in_force: in_force };
+        let mut actions = state.machine.set_standing(standing, now);
+        actions.extend(step(&mut state.machine, now));
+        let sends = self.answer(&mut state, actions);
+        drop(state);
+        for (to, message) in sends {
+            self.metrics.messages.with_label_values(&["sent"]).inc();
+            self.sender.send(&to, message);
+        }
+    }
+
+    /// Answers charges and returns what must be sent.
+    fn answer(
+        &self,
+        state: &mut ShareState,
+        actions: Vec<ShareAction>,
+    ) -> Vec<(HostId, PeerMessage)> {
+        let mut sends = Vec::new();
+        for action in actions {
+            match action {
+                ShareAction::Send { to, message } => {
+                    sends.push((to, PeerMessage::Shares(message)));
+                }
+                ShareAction::Admit { request, team, tokens } => {
+                    self.metrics.charges.with_label_values(&["made"]).inc();
+                    if let Some(answer) = state.answers.remove(&request) {
+                        // A receiver that is gone refunds in its `Drop`.
+                        let _gone = answer.send(Ok(ChargeReceipt { team, tokens }));
+                    }
+                }
+                ShareAction::Refuse { request, refusal } => {
+                    self.metrics.charges.with_label_values(&[refusal_label(&refusal)]).inc();
+                    if let Some(answer) = state.answers.remove(&request) {
+                        let _gone = answer.send(Err(charge_refusal(refusal)));
+                    }
+                }
+            }
+        }
+        sends
+    }
+
+    fn charge(self: &Arc<Self>, request: &ChargeRequest) -> PendingCharge {
+        let (sender, answer) = oneshot::channel();
+        let charge = {
+            let mut state = self.state();
+            state.next_charge += 1;
+            let charge = RequestId(state.next_charge);
+            state.answers.insert(charge, sender);
+            charge
+        };
+        let ChargeRequest { team, tokens, deadline, .. } = request;
+        self.run(|machine, now| machine.charge(charge, team, *tokens, *deadline, now));
+        PendingCharge { core: self.clone(), charge, team: team.clone(), answer }
+    }
+
+    fn refund(&self, team: &TeamId, unused: TokenCount) {
+        self.metrics.refunded.inc_by(unused.0);
+        self.run(|machine, now| machine.refund(team, unused, now));
+    }
+
+    fn tick(&self) {
+        self.run(ShareMachine::tick);
+        let state = self.state();
+        let counters = state.machine.ledger_counters();
+        self.metrics.granted.set(gauge(counters.granted));
+        self.metrics.recalls.set(gauge(counters.recalls));
+        self.metrics.slots.set(gauge(state.machine.usable_slots() as u64));
+        self.metrics.waiting.set(gauge(state.machine.waiting_charges() as u64));
+    }
+
+    fn follow_members(&self, view: &MemberView) {
+        let serving = view.serving().map(|member| member.host.clone()).collect();
+        self.state().machine.set_members(serving);
+    }
+
+    fn follow_teams(&self, configuration: &ConfigurationFeed) {
+        let snapshot = configuration.current();
+        self.run(|machine, now| {
+            machine.set_teams(&snapshot.document.teams, now);
+            Vec::new()
+        });
+    }
+}
+
+fn gauge(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+fn refusal_label(refusal: &ShareRefusal) -> &'static str {
+    match refusal {
+        ShareRefusal::OverRate { .. } => "over_rate",
+        ShareRefusal::OverBurst { .. } => "over_burst",
+        ShareRefusal::Unreachable => "unreachable",
+    }
+}
+
+fn charge_refusal(refusal: ShareRefusal) -> ChargeRefusal {
+    match refusal {
+        ShareRefusal::OverRate { retry_after } => ChargeRefusal::OverRate { retry_after },
+        ShareRefusal::OverBurst { tokens, burst } => ChargeRefusal::OverBurst { tokens, burst },
+        ShareRefusal::Unreachable => ChargeRefusal::Unreachable,
+    }
+}
+
+async fn receive_messages(core: Arc<ShareCore>, mut inbox: PeerInbox) {
+    while let Some(delivery) = inbox.recv().await {
+        #[allow(irrefutable_let_patterns)]
+        let PeerMessage::Shares(message) = delivery.message else { continue };
+        core.metrics.messages.with_label_values(&["received"]).inc();
+        let from = SlotOwner { host: delivery.from, incarnation: delivery.incarnation };
+        core.run(|machine, now| machine.deliver(&from, &message, now));
+    }
+}
+
+async fn follow_configuration(core: Arc<ShareCore>, configuration: ConfigurationFeed) {
+    let mut changes = configuration.subscribe();
+    // A change between the start and the subscription is followed here.
+    core.follow_teams(&configuration);
+    while changes.changed().await.is_ok() {
+        core.follow_teams(&configuration);
+    }
+}
+
+async fn follow_member_feed(core: Arc<ShareCore>, mut members: MemberFeed) {
+    while members.changed().await.is_ok() {
+        let view = members.borrow_and_update().clone();
+        core.follow_members(&view);
+    }
+}
+
+/// Reads the slot map; on the host that holds the role, moves slots to the members.
+struct SlotKeeper {
+    core: Arc<ShareCore>,
+    table: PlatformTable,
+    members: MemberFeed,
+    confirm: Arc<ConfirmCall>,
+    version: RowVersion,
+    map: Option<SlotMap>,
+    wanted_for: Duration,
+    read_before: Duration,
+}
+
+impl SlotKeeper {
+    async fn run(mut self) {
+        loop {
+            if let Err(error) = self.check().await {
+                self.core.metrics.slot_moves.with_label_values(&["failed"]).inc();
+                spdlog::debug!("share slots: {error}");
+            }
+            tokio::time::sleep(self.jittered(SLOT_CHECK_PERIOD)).await;
+            self.read_before += SLOT_CHECK_PERIOD;
+        }
+    }
+
+    /// Spreads the hosts' reads over a period and a half.
+    fn jittered(&self, period: Duration) -> Duration {
+        let weight = role_weight("jitter", SLOTS_KEY, &self.core.owner.host);
+        let thousandths = u32::try_from(weight % 500).unwrap_or(0);
+        period * (750 + thousandths) / 1_000
+    }
+
+    async fn check(&mut self) -> Result<(), SlotError> {
+        let head = (self.core.standing)().head;
+        let due = self.read_before >= self.jittered(SLOT_READ_PERIOD);
+        if self.map.is_none() || head > self.version || due {
+            self.read().await?;
+            self.read_before = Duration::ZERO;
+        }
+        self.move_slots().await
+    }
+
+    async fn read(&mut self) -> Result<(), SlotError> {
+        let rows = self.table.read(vec![SLOTS_KEY.to_owned()]).await;
+        let rows = rows.map_err(|cause| SlotError::Table { step: "read slot map", cause })?;
+        let Some(row) = rows.first() else {
+            self.map.get_or_insert_default();
+            return Ok(());
+        };
+        let map = postcard::from_bytes(&row.value)
+            .map_err(|cause| SlotError::Malformed { version: row.version, cause })?;
+        self.follow(map, row.version);
+        Ok(())
+    }
+
+    fn follow(&mut self, map: SlotMap, version: RowVersion) {
+        if version <= self.version {
+            return;
+        }
+        self.core.run(|machine, now| {
+            machine.set_slots(&map, version, now);
+            Vec::new()
+        });
+        self.version = version;
+        self.map = Some(map);
+        (self.confirm)(version);
+    }
+
+    async fn move_slots(&mut self) -> Result<(), SlotError> {
+        let Some(moved) = self.wanted_map() else {
+            self.wanted_for = Duration::ZERO;
+            return Ok(());
+        };
+        let first = moved.change == 1;
+        self.wanted_for += SLOT_CHECK_PERIOD;
+        if !first && self.wanted_for < SETTLING_SPAN {
+            return Ok(());
+        }
+        self.wanted_for = Duration::ZERO;
+        let value = postcard::to_stdvec(&moved).map_err(|cause| SlotError::Encode { cause })?;
+        let key = SLOTS_KEY.to_owned();
+        let transaction = TableTransaction {
+            conditions: vec![RowCondition { key: key.clone(), version: self.version }],
+            writes: vec![RowWrite { key, value: Some(value) }],
+        };
+        let outcome = self.table.commit(transaction).await;
+        match outcome.map_err(|cause| SlotError::Table { step: "move slots", cause })? {
+            CommitOutcome::Committed(versions) => {
+                self.core.metrics.slot_moves.with_label_values(&["committed"]).inc();
+                let version = versions.first().copied().unwrap_or_default();
+                spdlog::info!("share slots moved: change {}, version {version}", moved.change);
+                self.follow(moved, version);
+                Ok(())
+            }
+            CommitOutcome::Conflict(_) => self.read().await,
+        }
+    }
+
+    /// Returns the map that should be written, if this host holds the role and one should.
+    fn wanted_map(&self) -> Option<SlotMap> {
+        let view = self.members.borrow().clone();
+        let serving: Vec<SlotOwner> = view
+            .serving()
+            .map(|m| SlotOwner { host: m.host.clone(), incarnation: m.incarnation })
+            .collect();
+        let hosts = serving.iter().map(|owner| &owner.host);
+        let keeper = role_holder(SLOT_KEEPER_ROLE, SLOTS_KEY, hosts)?;
+        if *keeper != self.core.owner.host {
+            return None;
+        }
+        self.map.as_ref()?.rebalanced(&serving)
+    }
+}
+
+impl ShareMetrics {
+    fn registered(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let vector = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let refunded = IntCounter::new("share_refunded_tokens_total", "Tokens refunded")?;
+        registry.register(Box::new(refunded.clone()))?;
+        Ok(Self {
+            charges: vector("share_charges_total", "Charges by outcome", "outcome")?,
+            refunded,
+            messages: vector("share_messages_total", "Share messages", "direction")?,
+            granted: gauge("share_granted_tokens", "Tokens granted by ledgers on this host")?,
+            recalls: gauge("share_recalls", "Recalls sent by ledgers on this host")?,
+            slots: gauge("share_slots", "Share slots in use on this host")?,
+            waiting: gauge("share_waiting_charges", "Charges that wait for tokens")?,
+            slot_moves: vector("share_slot_moves_total", "Slot moves by outcome", "outcome")?,
+        })
+    }
+}
