Model a fleet for the scenarios of team shares

Cause: the bound on admissions must be checked under faults, on the code that the daemon runs. Conclusion: faults can be scripted next.

--- a/crates/decisions/src/shares/bucket.rs
+++ b/crates/decisions/src/shares/bucket.rs
@@ -23,6 +23,16 @@
         Self(u128::from(rate.milli_tokens()) * narrowed(to.0.saturating_sub(from.0)))
     }
 
+    /// Returns what `rate` yields within `nanos` nanoseconds of true time.
+    pub fn at_true_time(rate: TokenRate, nanos: u64) -> Self {
+        Self(u128::from(rate.milli_tokens()) * u128::from(nanos))
+    }
+
+    /// Tells whether there is a part of a token beyond the whole ones.
+    pub fn has_fraction(self) -> bool {
+        !self.0.is_multiple_of(PICO_PER_TOKEN)
+    }
+
     /// Returns the sum of both.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
--- /dev/null
+++ b/crates/decisions/src/shares/fleet_model.rs
@@ -0,0 +1,769 @@
+//! A small model of a fleet for scenarios and experiments: hosts that run the share machine over
+//! drifting clocks, a network that loses, doubles and delays, a table, and callers.
+//!
+//! Freshness and "in force" follow the rules that [`super`] relies on: a host is fresh with table
+//! evidence or a strict majority of the listed hosts heard within [`FRESHNESS_SPAN`]; a slot map
+//! is in force that long after a strict majority has confirmed it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use dotterellane_protocol::ShareMessage;
+use dotterellane_settings::document::TeamEntry;
+use dotterellane_units::{
+    ClockInstant, HostId, HostIncarnation, RequestId, RowVersion, TeamId, TokenCount,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::admissions::{AdmissionMeter, TeamTally};
+use super::baselines::{CentralBucket, HostBucket};
+use super::{ShareAction, ShareMachine, ShareStanding, ShareTimings, SlotMap, SlotOwner};
+
+/// How long evidence keeps a host fresh.
+pub const FRESHNESS_SPAN: Duration = Duration::from_secs(3);
+
+const TICK_PERIOD: Duration = Duration::from_millis(25);
+const GOSSIP_PERIOD: Duration = Duration::from_millis(200);
+const SILENCE_SPAN: Duration = Duration::from_secs(2);
+const SETTLING_SPAN: Duration = Duration::from_secs(5);
+const UNLISTING_SPAN: Duration = Duration::from_secs(15);
+const DEFAULT_LATENCY: Duration = Duration::from_micros(500);
+
+/// How teams are held to their rates.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SharePolicy {
+    /// Slots, pledges and ledgers.
+    Ledgers,
+    /// Every host has an even part of the rate and burst.
+    StaticSplit,
+    /// One bucket in the platform's table, read and written for each charge.
+    CentralBucket,
+}
+
+/// What the network does to messages.
+#[derive(Clone, Copy, Debug)]
+pub struct NetworkFaults {
+    /// Chance that a message is lost.
+    pub lost: f64,
+    /// Chance that a message comes twice.
+    pub doubled: f64,
+    /// Chance that a message is late.
+    pub late: f64,
+    /// Longest delay of a late message.
+    pub delay: Duration,
+    /// Latency of the others.
+    pub latency: Duration,
+}
+
+impl Default for NetworkFaults {
+    fn default() -> Self {
+        let (lost, doubled, late) = (0.0, 0.0, 0.0);
+        Self { lost, doubled, late, delay: Duration::from_secs(10), latency: DEFAULT_LATENCY }
+    }
+}
+
+/// Callers of one team.
+#[derive(Clone, Debug)]
+pub struct LoadSource {
+    /// Team that they belong to.
+    pub team: TeamId,
+    /// Requests a second.
+    pub requests: f64,
+    /// Smallest and largest number of tokens of a request.
+    pub tokens: (u64, u64),
+    /// Hosts that they reach, with weights; every host alike if empty.
+    pub weights: Vec<(HostId, f64)>,
+    /// How long after it is sent a request must have been charged.
+    pub patience: Duration,
+    /// Part of each charge that is refunded.
+    pub unused: f64,
+    /// Whether requests that are over the rate are not sent.
+    pub shaped: bool,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HostState {
+    Running,
+    Paused,
+    Dead,
+}
+
+#[derive(Debug)]
+struct ModelHost {
+    owner: SlotOwner,
+    machine: ShareMachine,
+    bucket: HostBucket,
+    state: HostState,
+    group: u32,
+    reaches_table: bool,
+    drift_ppm: i64,
+    origin: u64,
+    died: Option<u64>,
+    heard: BTreeMap<SlotOwner, u64>,
+    table_read: Option<u64>,
+    known: RowVersion,
+    map: SlotMap,
+    held: Vec<(SlotOwner, ShareMessage)>,
+}
+
+#[derive(Debug)]
+enum ModelEvent {
+    Deliver { from: SlotOwner, from_group: u32, to: HostId, message: ShareMessage },
+    Tick(HostId),
+    Gossip,
+    Arrival(usize),
+    Refund { host: SlotOwner, team: TeamId, tokens: TokenCount },
+}
+
+/// A request that was sent.
+#[derive(Clone, Debug)]
+struct SentRequest {
+    team: TeamId,
+    tokens: TokenCount,
+    sent: u64,
+    in_rate: bool,
+    unused: f64,
+}
+
+/// A fleet under load and faults.
+#[derive(Debug)]
+pub struct FleetModel {
+    policy: SharePolicy,
+    timings: ShareTimings,
+    now: u64,
+    random: Pcg64Mcg,
+    events: BTreeMap<(u64, u64), ModelEvent>,
+    next_event: u64,
+    hosts: BTreeMap<HostId, ModelHost>,
+    listed: BTreeSet<SlotOwner>,
+    listed_changed: u64,
+    teams: BTreeMap<TeamId, TeamEntry>,
+    table_up: bool,
+    row: (RowVersion, SlotMap),
+    confirmed_by_majority: BTreeMap<RowVersion, u64>,
+    moves_wanted: Option<u64>,
+    central: CentralBucket,
+    loads: Vec<Option<LoadSource>>,
+    requests: BTreeMap<RequestId, SentRequest>,
+    next_request: u128,
+    meters: BTreeMap<TeamId, AdmissionMeter>,
+    tallies: BTreeMap<TeamId, TeamTally>,
+    /// What the network does from now on.
+    pub network: NetworkFaults,
+    messages: BTreeMap<HostId, (u64, u64)>,
+    message_size: fn(&ShareMessage) -> usize,
+}
+
+impl FleetModel {
+    /// Starts without hosts; the same seed gives the same run.
+    pub fn new(policy: SharePolicy, timings: ShareTimings, seed: u64) -> Self {
+        let mut model = Self {
+            policy,
+            timings,
+            now: 1_000_000_000_000,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            events: BTreeMap::new(),
+            next_event: 0,
+            hosts: BTreeMap::new(),
+            listed: BTreeSet::new(),
+            listed_changed: 0,
+            teams: BTreeMap::new(),
+            table_up: true,
+            row: (RowVersion(0), SlotMap::default()),
+            confirmed_by_majority: BTreeMap::new(),
+            moves_wanted: None,
+            central: CentralBucket::default(),
+            loads: Vec::new(),
+            requests: BTreeMap::new(),
+            next_request: 0,
+            meters: BTreeMap::new(),
+            tallies: BTreeMap::new(),
+            network: NetworkFaults::default(),
+            messages: BTreeMap::new(),
+            message_size: |_| 0,
+        };
+        model.schedule(Duration::ZERO, ModelEvent::Gossip);
+        model
+    }
+
+    /// Sets how the size of a message is told.
+    pub fn set_message_size(&mut self, size: fn(&ShareMessage) -> usize) {
+        self.message_size = size;
+    }
+
+    /// Sets a team's rate and burst on every host.
+    pub fn set_team(&mut self, team: &TeamId, rates: TeamEntry) {
+        self.teams.insert(team.clone(), rates.clone());
+        self.central.set_team(team, &rates, self.now);
+        let meter = AdmissionMeter::new(&rates, self.now);
+        self.meters.entry(team.clone()).or_insert(meter).set_rates(&rates, self.now);
+        self.tallies.entry(team.clone()).or_insert_with(|| TeamTally::new(&rates, self.now));
+        let teams = self.teams.clone();
+        for host in self.hosts.values_mut() {
+            let now = host.clock(self.now);
+            host.machine.set_teams(&teams, now);
+        }
+    }
+
+    /// Starts a daemon on `host`, or a new one in the place of the old one.
+    pub fn start(&mut self, host: &HostId) {
+        let before = self.hosts.get(host).map_or(0, |old| old.owner.incarnation.0);
+        let owner = SlotOwner { host: host.clone(), incarnation: HostIncarnation(before + 1) };
+        let mut machine = ShareMachine::new(owner.clone(), self.timings);
+        let mut started = ModelHost {
+            owner,
+            machine: ShareMachine::new(
+                SlotOwner { host: host.clone(), incarnation: HostIncarnation(0) },
+                self.timings,
+            ),
+            bucket: HostBucket::default(),
+            state: HostState::Running,
+            group: 0,
+            reaches_table: true,
+            drift_ppm: self.hosts.get(host).map_or(0, |old| old.drift_ppm),
+            origin: self.random.random_range(0..1_000_000_000),
+            died: None,
+            heard: BTreeMap::new(),
+            table_read: None,
+            known: RowVersion(0),
+            map: SlotMap::default(),
+            held: Vec::new(),
+        };
+        machine.set_teams(&self.teams, started.clock(self.now));
+        started.machine = machine;
+        self.hosts.insert(host.clone(), started);
+        if before == 0 {
+            let offset = Duration::from_micros(self.random.random_range(0..25_000));
+            self.schedule(offset, ModelEvent::Tick(host.clone()));
+        }
+    }
+
+    /// Kills the daemon on `host`.
+    pub fn kill(&mut self, host: &HostId) {
+        let now = self.now;
+        if let Some(host) = self.hosts.get_mut(host) {
+            host.state = HostState::Dead;
+            host.died = Some(now);
+        }
+    }
+
+    /// Stops the daemon on `host` between two steps; its clock runs on.
+    pub fn pause(&mut self, host: &HostId) {
+        if let Some(host) = self.hosts.get_mut(host) {
+            host.state = HostState::Paused;
+        }
+    }
+
+    /// Lets a paused daemon go on, first of all with the messages that came meanwhile.
+    pub fn resume(&mut self, host: &HostId) {
+        let Some(paused) = self.hosts.get_mut(host) else { return };
+        paused.state = HostState::Running;
+        for (from, message) in std::mem::take(&mut paused.held) {
+            self.deliver(&from, host, &message);
+        }
+    }
+
+    /// Puts `host` into a part of the network that reaches only its like.
+    pub fn set_group(&mut self, host: &HostId, group: u32, reaches_table: bool) {
+        if let Some(host) = self.hosts.get_mut(host) {
+            (host.group, host.reaches_table) = (group, reaches_table);
+        }
+    }
+
+    /// Sets how fast the clock of `host` runs, in millionths beyond true time.
+    pub fn set_drift(&mut self, host: &HostId, drift_ppm: i64) {
+        let now = self.now;
+        if let Some(host) = self.hosts.get_mut(host) {
+            let reading = host.clock(now).0;
+            host.drift_ppm = drift_ppm;
+            let shifted = host.clock(now).0;
+            host.origin = (host.origin + reading).saturating_sub(shifted);
+        }
+    }
+
+    /// Lets the table answer or not.
+    pub fn set_table(&mut self, up: bool) {
+        self.table_up = up;
+    }
+
+    /// Lets callers send; returns the number by which they are stopped.
+    pub fn add_load(&mut self, load: LoadSource) -> usize {
+        self.loads.push(Some(load));
+        let number = self.loads.len() - 1;
+        self.schedule(Duration::ZERO, ModelEvent::Arrival(number));
+        number
+    }
+
+    /// Stops all callers of `team`.
+    pub fn stop_load(&mut self, team: &TeamId) {
+        for load in &mut self.loads {
+            if load.as_ref().is_some_and(|load| load.team == *team) {
+                *load = None;
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + nanos(span);
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), event) = entry.remove_entry();
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    /// Returns what became of a team's requests.
+    pub fn tally(&self, team: &TeamId) -> TeamTally {
+        let mut tally = self.tallies.get(team).cloned().unwrap_or_default();
+        if let Some(meter) = self.meters.get(team) {
+            tally.overshoot = meter.overshoot();
+            tally.peak = meter.peak();
+        }
+        tally.waiting = self.requests.values().filter(|sent| sent.team == *team).count();
+        tally
+    }
+
+    /// Returns the largest number of tokens that any team got beyond its rate and burst.
+    pub fn overshoot(&self) -> TokenCount {
+        self.meters.values().map(AdmissionMeter::overshoot).max().unwrap_or_default()
+    }
+
+    /// Returns messages and bytes that each host has sent.
+    pub fn messages(&self) -> &BTreeMap<HostId, (u64, u64)> {
+        &self.messages
+    }
+
+    /// Returns round trips to the table for charges.
+    pub fn table_trips(&self) -> u64 {
+        self.central.round_trips()
+    }
+
+    /// Returns the holder of the ledger of `team` as the first running host sees it.
+    pub fn ledger(&self, team: &TeamId) -> Option<HostId> {
+        let running = self.hosts.values().filter(|host| host.state == HostState::Running);
+        let hosts: Vec<HostId> = running.map(|host| host.owner.host.clone()).collect();
+        crate::rendezvous::role_holder(super::machine::LEDGER_ROLE, team.as_str(), &hosts).cloned()
+    }
+
+    /// Returns the share slots in use by each host.
+    pub fn slots(&self) -> Vec<(HostId, usize)> {
+        let live = self.hosts.values().filter(|host| host.state != HostState::Dead);
+        live.map(|host| (host.owner.host.clone(), host.machine.usable_slots())).collect()
+    }
+
+    fn schedule(&mut self, after: Duration, event: ModelEvent) {
+        self.next_event += 1;
+        self.events.insert((self.now + nanos(after), self.next_event), event);
+    }
+
+    fn handle(&mut self, event: ModelEvent) {
+        match event {
+            ModelEvent::Deliver { from, from_group, to, message } => {
+                let reached = self.hosts.get(&to).is_some_and(|host| host.group == from_group);
+                if reached {
+                    self.deliver(&from, &to, &message);
+                }
+            }
+            ModelEvent::Tick(host) => {
+                self.tick(&host);
+                self.schedule(TICK_PERIOD, ModelEvent::Tick(host));
+            }
+            ModelEvent::Gossip => {
+                self.gossip();
+                self.schedule(GOSSIP_PERIOD, ModelEvent::Gossip);
+            }
+            ModelEvent::Arrival(number) => self.arrive(number),
+            ModelEvent::Refund { host, team, tokens } => self.refund(&host, &team, tokens),
+        }
+    }
+
+    fn deliver(&mut self, from: &SlotOwner, to: &HostId, message: &ShareMessage) {
+        let Some(host) = self.hosts.get_mut(to) else { return };
+        match host.state {
+            HostState::Dead => {}
+            HostState::Paused => host.held.push((from.clone(), message.clone())),
+            HostState::Running => {
+                self.step(to, |machine, now| machine.deliver(from, message, now));
+            }
+        }
+    }
+
+    fn tick(&mut self, host: &HostId) {
+        if self.hosts.get(host).is_none_or(|host| host.state != HostState::Running) {
+            return;
+        }
+        match self.policy {
+            SharePolicy::Ledgers => self.step(host, ShareMachine::tick),
+            SharePolicy::StaticSplit => self.tick_bucket(host),
+            SharePolicy::CentralBucket => self.tick_central(),
+        }
+    }
+
+    fn tick_bucket(&mut self, name: &HostId) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let (owner, actions) = (host.owner.clone(), host.bucket.tick(now));
+        self.act(&owner, actions);
+    }
+
+    fn tick_central(&mut self) {
+        let (now, up) = (self.now, self.table_up);
+        let actions = self.central.tick(up, now);
+        let Some(host) = self.hosts.values().find(|host| host.state == HostState::Running) else {
+            return;
+        };
+        let owner = host.owner.clone();
+        self.act(&owner, actions);
+    }
+
+    /// Runs the machine of `host` at its own clock.
+    fn step<S>(&mut self, host: &HostId, step: S)
+    where
+        S: FnOnce(&mut ShareMachine, ClockInstant) -> Vec<ShareAction>,
+    {
+        let (now, in_force) = (self.now, self.in_force());
+        let listed = self.listed.clone();
+        let Some(host) = self.hosts.get_mut(host) else { return };
+        let clock = host.clock(now);
+        let standing =
+            ShareStanding { fresh: host.is_fresh(&listed, now), slots_in_force: in_force };
+        let mut actions = host.machine.set_standing(standing, clock);
+        actions.extend(step(&mut host.machine, clock));
+        let owner = host.owner.clone();
+        self.act(&owner, actions);
+    }
+
+    fn act(&mut self, owner: &SlotOwner, actions: Vec<ShareAction>) {
+        for action in actions {
+            match action {
+                ShareAction::Send { to, message } => self.send(owner, to, message),
+                ShareAction::Admit { request, team, tokens } => {
+                    self.admit(owner, request, &team, tokens);
+                }
+                ShareAction::Refuse { request, .. } => {
+                    if let Some(sent) = self.requests.remove(&request)
+                        && let Some(tally) = self.tallies.get_mut(&sent.team)
+                    {
+                        let waited = Duration::from_nanos(self.now - sent.sent);
+                        tally.note_refused(sent.in_rate, sent.tokens, waited);
+                    }
+                }
+            }
+        }
+    }
+
+    fn admit(&mut self, owner: &SlotOwner, request: RequestId, team: &TeamId, tokens: TokenCount) {
+        let sent = self.requests.remove(&request);
+        if let Some(meter) = self.meters.get_mut(team) {
+            meter.admit(tokens, self.now);
+        }
+        let Some(sent) = sent else { return };
+        if let Some(tally) = self.tallies.get_mut(team) {
+            tally.note_admitted(sent.tokens, Duration::from_nanos(self.now - sent.sent));
+        }
+        if sent.unused > 0.0 {
+            let unused = TokenCount((sent.tokens.0 as f64 * sent.unused) as u64);
+            let event =
+                ModelEvent::Refund { host: owner.clone(), team: team.clone(), tokens: unused };
+            let held = Duration::from_millis(self.random.random_range(100..5_000));
+            self.schedule(held, event);
+        }
+    }
+
+    fn refund(&mut self, owner: &SlotOwner, team: &TeamId, tokens: TokenCount) {
+        let Some(host) = self.hosts.get_mut(&owner.host) else { return };
+        if host.owner != *owner || host.state != HostState::Running {
+            return;
+        }
+        if let Some(meter) = self.meters.get_mut(team) {
+            meter.refund(tokens, self.now);
+        }
+        if let Some(tally) = self.tallies.get_mut(team) {
+            tally.note_refund(tokens, self.now);
+        }
+        match self.policy {
+            SharePolicy::Ledgers => {
+                self.step(&owner.host, |machine, now| machine.refund(team, tokens, now));
+            }
+            SharePolicy::StaticSplit => {
+                let now = self.now;
+                if let Some(host) = self.hosts.get_mut(&owner.host) {
+                    host.bucket.refund(team, tokens, now);
+                }
+            }
+            SharePolicy::CentralBucket => self.central.refund(team, tokens, self.now),
+        }
+    }
+
+    fn send(&mut self, from: &SlotOwner, to: HostId, message: ShareMessage) {
+        let Some(sender) = self.hosts.get(&from.host) else { return };
+        let from_group = sender.group;
+        let sent = self.messages.entry(from.host.clone()).or_default();
+        *sent = (sent.0 + 1, sent.1 + (self.message_size)(&message) as u64);
+        let faults = self.network;
+        if self.random.random_bool(faults.lost) {
+            return;
+        }
+        let copies = if self.random.random_bool(faults.doubled) { 2 } else { 1 };
+        for _ in 0..copies {
+            let spread = self.random.random_range(0.75..1.25);
+            let mut delay = faults.latency.mul_f64(spread);
+            if self.random.random_bool(faults.late) {
+                delay += faults.delay.mul_f64(self.random.random_range(0.0..1.0));
+            }
+            let (from, to, message) = (from.clone(), to.clone(), message.clone());
+            self.schedule(delay, ModelEvent::Deliver { from, from_group, to, message });
+        }
+    }
+
+    fn arrive(&mut self, number: usize) {
+        let Some(load) = self.loads.get(number).cloned().flatten() else { return };
+        let gap = -(1.0 - self.random.random_range(0.0..1.0_f64)).ln() / load.requests;
+        self.schedule(Duration::from_secs_f64(gap), ModelEvent::Arrival(number));
+        let tokens = TokenCount(self.random.random_range(load.tokens.0..=load.tokens.1));
+        let Some(host) = self.pick_host(&load) else { return };
+        let tally = self.tallies.entry(load.team.clone()).or_default();
+        let in_rate = tally.note_sent(tokens, self.now, load.shaped);
+        if in_rate || !load.shaped {
+            self.charge(&host, &load.team, tokens, load.patience, load.unused, in_rate);
+        }
+    }
+
+    /// Picks a host as the balancer does: one that runs and whose health check passes.
+    fn pick_host(&mut self, load: &LoadSource) -> Option<HostId> {
+        let weight = |host: &ModelHost| {
+            let found = load.weights.iter().find(|(name, _)| *name == host.owner.host);
+            found.map_or(if load.weights.is_empty() { 1.0 } else { 0.0 }, |(_, weight)| *weight)
+        };
+        let healthy = self.hosts.values().filter(|host| {
+            host.state == HostState::Running && host.is_fresh(&self.listed, self.now)
+        });
+        let choices: Vec<(HostId, f64)> =
+            healthy.map(|host| (host.owner.host.clone(), weight(host))).collect();
+        let total: f64 = choices.iter().map(|(_, weight)| weight).sum();
+        if total <= 0.0 {
+            return choices.first().map(|(host, _)| host.clone());
+        }
+        let mut point = self.random.random_range(0.0..total);
+        let found = choices.iter().find(|(_, weight)| {
+            point -= weight;
+            point < 0.0
+        });
+        found.or(choices.last()).map(|(host, _)| host.clone())
+    }
+
+    /// Sends one request to `host`; returns its id.
+    pub fn send_request(
+        &mut self,
+        host: &HostId,
+        team: &TeamId,
+        tokens: TokenCount,
+        patience: Duration,
+    ) -> RequestId {
+        let in_rate =
+            self.tallies.entry(team.clone()).or_default().note_sent(tokens, self.now, false);
+        self.charge(host, team, tokens, patience, 0.0, in_rate)
+    }
+
+    fn charge(
+        &mut self,
+        host: &HostId,
+        team: &TeamId,
+        tokens: TokenCount,
+        patience: Duration,
+        unused: f64,
+        in_rate: bool,
+    ) -> RequestId {
+        self.next_request += 1;
+        let request = RequestId(self.next_request);
+        let sent = SentRequest { team: team.clone(), tokens, sent: self.now, in_rate, unused };
+        self.requests.insert(request, sent);
+        let deadline = ClockInstant(self.now) + patience;
+        match self.policy {
+            SharePolicy::Ledgers => self.step(host, |machine, now| {
+                machine.charge(request, team, tokens, now + patience, now)
+            }),
+            SharePolicy::StaticSplit => {
+                let (now, parts) = (self.now, self.listed.len().max(1) as u64);
+                let rates = self.teams.get(team).cloned();
+                let Some((host, rates)) = self.hosts.get_mut(host).zip(rates) else {
+                    return request;
+                };
+                let charge = (request, tokens, deadline.0);
+                let actions = host.bucket.charge(team, &rates, parts, charge, now);
+                let owner = host.owner.clone();
+                self.act(&owner, actions);
+            }
+            SharePolicy::CentralBucket => {
+                let charge = (request, tokens, deadline.0);
+                let actions = self.central.charge(team, charge, self.table_up, self.now);
+                let owner = SlotOwner { host: host.clone(), incarnation: HostIncarnation(1) };
+                self.act(&owner, actions);
+            }
+        }
+        request
+    }
+
+    /// Tells whether a request still waits.
+    pub fn waits(&self, request: RequestId) -> bool {
+        self.requests.contains_key(&request)
+    }
+
+    fn in_force(&self) -> RowVersion {
+        let old = |at: &u64| self.now - at >= nanos(FRESHNESS_SPAN) + nanos(FRESHNESS_SPAN) / 100;
+        let mut in_force = RowVersion(0);
+        for (version, at) in &self.confirmed_by_majority {
+            if old(at) || self.confirmed_by_all(*version) {
+                in_force = *version;
+            }
+        }
+        in_force
+    }
+
+    fn confirmed_by_all(&self, version: RowVersion) -> bool {
+        self.listed.iter().all(|owner| {
+            let host = self.hosts.get(&owner.host);
+            host.is_some_and(|host| host.owner == *owner && host.known >= version)
+        })
+    }
+
+    fn gossip(&mut self) {
+        self.read_table();
+        let states: Vec<(SlotOwner, u32, RowVersion, SlotMap)> = self
+            .hosts
+            .values()
+            .filter(|host| host.state == HostState::Running)
+            .map(|host| (host.owner.clone(), host.group, host.known, host.map.clone()))
+            .collect();
+        let now = self.now;
+        for host in self.hosts.values_mut().filter(|host| host.state == HostState::Running) {
+            for (owner, group, known, map) in &states {
+                if *group == host.group {
+                    host.heard.insert(owner.clone(), now);
+                    host.learn(*known, map, now);
+                }
+            }
+            host.see_members(now);
+        }
+        self.count_confirmations();
+        self.change_list();
+        self.move_slots();
+    }
+
+    fn read_table(&mut self) {
+        let (now, up) = (self.now, self.table_up);
+        let (version, map) = self.row.clone();
+        let readers = self
+            .hosts
+            .values_mut()
+            .filter(|host| up && host.reaches_table && host.state == HostState::Running);
+        for host in readers {
+            host.table_read = Some(now);
+            host.learn(version, &map, now);
+        }
+    }
+
+    fn count_confirmations(&mut self) {
+        let (version, _) = self.row;
+        let confirmed = self.listed.iter().filter(|owner| {
+            let host = self.hosts.get(&owner.host);
+            host.is_some_and(|host| host.owner == **owner && host.known >= version)
+        });
+        if version > RowVersion(0) && confirmed.count() * 2 > self.listed.len() {
+            self.confirmed_by_majority.entry(version).or_insert(self.now);
+        }
+    }
+
+    /// Lists started hosts and takes those off the list that are gone for long, one at a time.
+    fn change_list(&mut self) {
+        let settled = self.now - self.listed_changed >= nanos(SETTLING_SPAN);
+        if !self.table_up || (!self.listed.is_empty() && !settled) {
+            return;
+        }
+        let current = |owner: &SlotOwner| self.hosts.get(&owner.host).filter(|h| h.owner == *owner);
+        let long = nanos(UNLISTING_SPAN);
+        let gone = self.listed.iter().find(|owner| {
+            current(owner).is_none_or(|host| host.died.is_some_and(|at| self.now - at >= long))
+        });
+        if let Some(gone) = gone.cloned() {
+            self.listed.remove(&gone);
+            self.listed_changed = self.now;
+            return;
+        }
+        let first = self.listed.is_empty();
+        for host in self.hosts.values() {
+            let joins = host.state == HostState::Running && host.reaches_table && host.group == 0;
+            if joins && self.listed.insert(host.owner.clone()) {
+                self.listed_changed = self.now;
+                if !first {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn move_slots(&mut self) {
+        let members: Vec<SlotOwner> = self
+            .listed
+            .iter()
+            .filter(|owner| {
+                self.hosts.get(&owner.host).is_some_and(|host| {
+                    host.owner == **owner && host.state == HostState::Running && host.group == 0
+                })
+            })
+            .cloned()
+            .collect();
+        let wanted = self.row.1.rebalanced(&members).filter(|_| self.table_up);
+        let Some(map) = wanted else {
+            self.moves_wanted = None;
+            return;
+        };
+        let since = *self.moves_wanted.get_or_insert(self.now);
+        if map.change > 1 && self.now - since < nanos(SETTLING_SPAN) {
+            return;
+        }
+        self.moves_wanted = None;
+        self.row = (self.row.0.next(), map);
+    }
+}
+
+impl ModelHost {
+    fn clock(&self, now: u64) -> ClockInstant {
+        let skew = i128::from(now) * i128::from(self.drift_ppm) / 1_000_000;
+        let reading = i128::from(now) + i128::from(self.origin) + skew;
+        ClockInstant(u64::try_from(reading).unwrap_or(0))
+    }
+
+    fn is_fresh(&self, listed: &BTreeSet<SlotOwner>, now: u64) -> bool {
+        let recent = |at: &u64| now - at < nanos(FRESHNESS_SPAN);
+        let heard = listed.iter().filter(|owner| self.heard.get(owner).is_some_and(recent));
+        self.table_read.as_ref().is_some_and(recent) || heard.count() * 2 > listed.len()
+    }
+
+    fn learn(&mut self, version: RowVersion, map: &SlotMap, now: u64) {
+        if version > self.known {
+            self.known = version;
+            self.map = map.clone();
+            let now = self.clock(now);
+            self.machine.set_slots(map, version, now);
+        }
+    }
+
+    fn see_members(&mut self, now: u64) {
+        let silence = nanos(SILENCE_SPAN);
+        let heard = self.heard.iter().filter(|(_, at)| now - **at < silence);
+        let mut serving: Vec<HostId> = heard.map(|(owner, _)| owner.host.clone()).collect();
+        serving.dedup();
+        self.machine.set_members(serving);
+    }
+}
+
+fn nanos(span: Duration) -> u64 {
+    u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
+}
--- a/crates/decisions/src/shares/mod.rs
+++ b/crates/decisions/src/shares/mod.rs
@@ -9,8 +9,11 @@
 //!
 //! Hence tokens charged less tokens refunded are at most rate x window + burst.
 
+pub mod admissions;
+pub mod baselines;
 pub mod bucket;
 pub mod credit;
+pub mod fleet_model;
 pub mod ledger;
 pub mod machine;
 pub mod pledges;
