--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,7 +3,9 @@
 //! Each module is a state machine: time and events go in, messages and actions come out. The
 //! daemons and the scenarios run the same code.
 
+pub mod fairness;
 pub mod freshness;
 pub mod membership;
 pub mod rendezvous;
 pub mod rounds;
+pub mod shares;
