Add the control interface of runners and a stand-in engine behind it

Cause: keepers need to order loads, and the only engines at hand are stand-ins. Change: the messages of dispatch and placement; RunnerOrders, a struct of four asynchronous closures with one HTTP implementation that sends each order once on a fresh connection; a stand-in engine that fences, counts its own replicas and memory and refuses nothing for lack of memory; a weight store that shares its speed among loads beyond a limit. Measured: planted "fence never checked": load_old_fence and load_then_unload fail; planted "store never slows down": both shared_lane cases fail. Conclusion: the seam stands; the keeper and the scenarios can build on it.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod http_server;
 pub mod platform_server;
 pub mod runner;
+pub mod weight_store;
--- a/crates/standins/src/runner/mod.rs
+++ b/crates/standins/src/runner/mod.rs
@@ -1,12 +1,20 @@
 //! A stand-in model engine.
 
+pub mod control;
+pub mod engine;
 pub mod serving;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use self::control::RunnerControl;
+use self::engine::EngineOptions;
 use crate::http_server::{self, StandinServer};
+use crate::weight_store::WeightStore;
+
+/// Start of the paths of the control interface.
+const CONTROL_PREFIX: &str = "/control/";
 
 /// How fast a stand-in runner is.
 #[derive(Clone, Debug)]
@@ -24,9 +32,11 @@
 }
 
 /// A stand-in runner: what it has loaded and what it was asked.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct StandinRunner {
     options: RunnerOptions,
+    /// The control side.
+    pub control: RunnerControl,
     state: Arc<Mutex<RunnerState>>,
 }
 
@@ -39,10 +49,24 @@
     pub last_headers: Vec<(String, String)>,
 }
 
+impl Default for StandinRunner {
+    fn default() -> Self {
+        Self::new(RunnerOptions::default())
+    }
+}
+
 impl StandinRunner {
     /// Makes a runner with nothing loaded.
     pub fn new(options: RunnerOptions) -> Self {
-        Self { options, state: Arc::default() }
+        let control = RunnerControl::new(EngineOptions::default(), WeightStore::default());
+        Self { options, control, state: Arc::default() }
+    }
+
+    /// Sets the engine and the weight store that it loads from.
+    #[must_use]
+    pub fn with_engine(mut self, engine: EngineOptions, store: WeightStore) -> Self {
+        self.control = RunnerControl::new(engine, store);
+        self
     }
 
     /// Starts to listen.
@@ -53,7 +77,12 @@
         let runner = self.clone();
         http_server::start(move |request| {
             let runner = runner.clone();
-            async move { runner.answer(request).await }
+            async move {
+                match request.uri().path().starts_with(CONTROL_PREFIX) {
+                    true => runner.answer_order(request).await,
+                    false => runner.answer(request).await,
+                }
+            }
         })
         .await
     }
--- /dev/null
+++ b/crates/standins/tests/runner_control.rs
@@ -0,0 +1,79 @@
+//! The stand-in runner takes orders as the engines do, and the store slows down as it does.
+
+use std::time::Duration;
+
+use dotterellane_protocol::placement::ReplicaState;
+use dotterellane_standins::runner::{RunnerOptions, StandinRunner};
+use dotterellane_standins::weight_store::SharedLane;
+use dotterellane_units::{ByteSize, ClockInstant, FenceNumber};
+use dotterellane_upstream::orders::{FenceOrder, LoadOrder, OrderError, RunnerOrders, UnloadOrder};
+use googletest::prelude::*;
+
+fn load_order(fence: u64) -> LoadOrder {
+    LoadOrder {
+        fence: FenceNumber(fence),
+        model: "draft-7b".parse().unwrap(),
+        adapter: None,
+        version: "v1".parse().unwrap(),
+        memory: ByteSize::mebibytes(64),
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn load_old_fence() -> googletest::Result<()> {
+    let runner = StandinRunner::new(RunnerOptions::default());
+    let server = runner.start().await.or_fail()?;
+    let orders = RunnerOrders::http(server.address);
+    orders.raise_fence(FenceOrder { fence: FenceNumber(5) }).await.or_fail()?;
+    let stale = orders.load(load_order(4)).await;
+    expect_that!(
+        stale,
+        err(matches_pattern!(OrderError::Stale { current: eq(&FenceNumber(5)), .. }))
+    );
+    let again = orders.raise_fence(FenceOrder { fence: FenceNumber(5) }).await;
+    expect_that!(again, err(matches_pattern!(OrderError::Stale { .. })));
+    expect_that!(orders.list().await.or_fail()?.replicas, is_empty());
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn load_then_unload() -> googletest::Result<()> {
+    let runner = StandinRunner::new(RunnerOptions::default());
+    let server = runner.start().await.or_fail()?;
+    let orders = RunnerOrders::http(server.address);
+    orders.load(load_order(1)).await.or_fail()?;
+    let listing = orders.list().await.or_fail()?;
+    expect_that!(listing.replicas, len(eq(1)));
+    expect_that!(listing.replicas[0].state, eq(ReplicaState::Loaded));
+    expect_that!(runner.state().loaded.contains_key("draft-7b"), eq(true));
+    let unload = UnloadOrder { fence: FenceNumber(2), model: load_order(1).model, adapter: None };
+    orders.unload(unload).await.or_fail()?;
+    expect_that!(orders.list().await.or_fail()?.used, eq(ByteSize(0)));
+    // The same load order arrives a second time, late.
+    let late = orders.load(load_order(1)).await;
+    expect_that!(late, err(matches_pattern!(OrderError::Stale { .. })));
+    Ok(())
+}
+
+#[gtest]
+fn shared_lane_beyond_full_speed() {
+    let mut lane = SharedLane::new(4);
+    for _ in 0..8 {
+        lane.begin(ClockInstant(0), Duration::from_secs(1));
+    }
+    // Eight at once run at half speed.
+    expect_that!(lane.advance(ClockInstant::from_millis(1_990)), is_empty());
+    expect_that!(lane.advance(ClockInstant::from_millis(2_010)), len(eq(8)));
+}
+
+#[gtest]
+fn shared_lane_unlike_sizes() {
+    let mut lane = SharedLane::new(1);
+    let long = lane.begin(ClockInstant(0), Duration::from_secs(3));
+    let short = lane.begin(ClockInstant(0), Duration::from_secs(1));
+    expect_that!(lane.advance(ClockInstant::from_millis(2_001)), elements_are![eq(&short)]);
+    expect_that!(lane.advance(ClockInstant::from_millis(3_990)), is_empty());
+    expect_that!(lane.advance(ClockInstant::from_millis(4_001)), elements_are![eq(&long)]);
+}
