--- a/crates/bench/src/regression.rs
+++ b/crates/bench/src/regression.rs
@@ -7,7 +7,8 @@
 pub const CONFIDENCE: f64 = 0.95;
 
 /// A least-squares line through measured points.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct MeasuredLine {
     /// Value at zero.
     pub intercept: f64,
--- a/crates/decisions/src/membership.rs
+++ b/crates/decisions/src/membership.rs
@@ -90,7 +90,8 @@
 ///
 /// The oldest one is dropped only once the list after it is in force; no daemon that is fresh
 /// uses it then.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct MemberLists(Vec<MemberList>);
 
 impl Default for MemberLists {
--- a/crates/decisions/src/shares/machine.rs
+++ b/crates/decisions/src/shares/machine.rs
@@ -58,7 +58,8 @@
 }
 
 /// Why a charge was refused.
-#[derive(Clone, Debug, Eq, PartialEq, Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
 pub enum ShareRefusal {
     /// The tokens do not come before the deadline.
     #[error("over rate; tokens come after {retry_after:?}")]
--- a/crates/dotterellane/src/demo/mod.rs
+++ b/crates/dotterellane/src/demo/mod.rs
@@ -108,8 +108,7 @@
     runners: &[StandinRunner],
     addresses: &[SocketAddr],
 ) -> miette::Result<FleetPorts> {
-    let snapshot =
-        ConfigurationSnapshot { version: ConfigVersion(1), document: document.clone() };
+    let snapshot = ConfigurationSnapshot { version: ConfigVersion(1), document: document.clone() };
     let ports = FleetPorts::new(boot_clock(), ConfigurationFeed::new(snapshot));
     let mut local = Vec::new();
     for (index, address) in addresses.iter().enumerate() {
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -32,7 +32,8 @@
 const SNAPSHOT_DISTANCE: u64 = 2 * SNAPSHOT_EVERY;
 
 /// Why an entry was not appended.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum AppendError<R> {
     /// The change does not fit the state at the head of the log.
     #[error("the change was refused")]
--- a/crates/fleet/src/document_edits.rs
+++ b/crates/fleet/src/document_edits.rs
@@ -5,7 +5,8 @@
 use thiserror::Error;
 
 /// Why edits do not fit a document.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum EditError {
     /// The new entry is no JSON.
     #[error("edit {section}.{key}: {cause}")]
--- a/crates/fleet/src/log_state.rs
+++ b/crates/fleet/src/log_state.rs
@@ -17,7 +17,8 @@
 pub const ENTRIES_KEPT: usize = 256;
 
 /// Why an entry cannot be followed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum FollowError {
     /// It is not the next one.
     #[error("follow entry {found}: the next one is {expected}")]
@@ -46,7 +47,8 @@
 }
 
 /// What a snapshot in the object store holds.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct LogSnapshot {
     /// Last entry that is in the snapshot.
     pub position: LogPosition,
--- a/crates/fleet/src/log_store.rs
+++ b/crates/fleet/src/log_store.rs
@@ -29,7 +29,8 @@
 const HEAD_KEY: &str = "log/head";
 
 /// The row that every change of hard state is conditional on.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LogHead {
     /// Newest entry.
     pub newest: LogPosition,
@@ -49,7 +50,8 @@
 }
 
 /// Why the log could not be read or written.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 pub enum LogError {
     /// The table did not answer.
     #[error("{0}")]
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -49,7 +49,8 @@
 }
 
 /// Why a daemon's control did not start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum NodeError {
     /// The socket cannot be used, or a metric is registered already.
     #[error("listen for peers at {address}: {cause}")]
--- a/crates/fleet/src/shares.rs
+++ b/crates/fleet/src/shares.rs
@@ -101,7 +101,8 @@
 }
 
 /// Why the slot map could not be read or changed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 enum SlotError {
     #[error("{step}: {cause}")]
     Table { step: &'static str, cause: TableError },
--- a/crates/protocol/src/dispatch.rs
+++ b/crates/protocol/src/dispatch.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A request for a place on a runner.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PermitAsk {
     /// Request that asks.
     pub request: RequestId,
@@ -27,7 +28,8 @@
 }
 
 /// Why no permit is given.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum PermitDenial {
     /// No replica will be ready, or free, before the deadline.
     TooLate,
@@ -38,7 +40,8 @@
 }
 
 /// How the call that a permit was for ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum PermitOutcome {
     /// The runner answered in full.
     Answered,
@@ -51,7 +54,8 @@
 }
 
 /// Permits of a model's dispatcher.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum DispatchMessage {
     /// An entry asks for a permit; repeated until it is answered.
     Ask(PermitAsk),
--- a/crates/protocol/src/placement.rs
+++ b/crates/protocol/src/placement.rs
@@ -8,9 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Where a runner finds a checkpoint that it does not have on its accelerator.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CacheTier {
     /// In the memory of the runner's machine.
@@ -23,7 +22,8 @@
 }
 
 /// How far a replica or an adapter has come on its runner.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ReplicaState {
     /// Its weights are on their way.
@@ -35,7 +35,8 @@
 }
 
 /// An adapter that a runner holds.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ListedAdapter {
     /// Name of the adapter.
     pub adapter: AdapterId,
@@ -48,7 +49,8 @@
 }
 
 /// A replica that a runner holds.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ListedReplica {
     /// Name of the model.
     pub model: ModelId,
@@ -63,7 +65,8 @@
 }
 
 /// A checkpoint that a runner's machine caches.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct CachedCheckpoint {
     /// Name of the model.
     pub model: ModelId,
@@ -72,7 +75,8 @@
 }
 
 /// What a runner says of itself; it may lag.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RunnerListing {
     /// Grows with each restart of the runner.
     pub incarnation: u64,
@@ -93,7 +97,8 @@
 }
 
 /// A replica as its keeper tells the dispatchers.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ReplicaReport {
     /// Name of the model.
     pub model: ModelId,
@@ -112,7 +117,8 @@
 }
 
 /// Wakes of models and keepers of runners.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum PlacementMessage {
     /// A dispatcher asks the keeper of `runner` to load a model into its decided slot.
     Wake {
--- a/crates/upstream/src/orders.rs
+++ b/crates/upstream/src/orders.rs
@@ -39,14 +39,16 @@
 }
 
 /// Raises the fencing number.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct FenceOrder {
     /// The new number; accepted if higher than every number seen.
     pub fence: FenceNumber,
 }
 
 /// Loads a model, or an adapter onto a loaded model.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LoadOrder {
     /// Fencing number of the keeper.
     pub fence: FenceNumber,
@@ -62,7 +64,8 @@
 }
 
 /// Unloads a model with its adapters, or one adapter.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct UnloadOrder {
     /// Fencing number of the keeper.
     pub fence: FenceNumber,
@@ -74,7 +77,8 @@
 }
 
 /// The body of a refused order.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct OrderRefusal {
     /// Highest fencing number that the runner has seen.
     pub fence: FenceNumber,
@@ -83,7 +87,8 @@
 }
 
 /// Why an order did not succeed.
-#[derive(Clone, Debug, Eq, PartialEq, Error)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
 pub enum OrderError {
     /// The runner has seen a higher fencing number; nothing was done.
     #[error("{step}: runner at {peer} has seen the fencing number {current}")]
@@ -212,7 +217,8 @@
 }
 
 /// The body of a carried-out order.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct OrderDone {}
 
 #[derive(Clone)]
