--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 
 use crate::load::LoadOptions;
+use crate::slopes::SlopeOptions;
 
 /// Measures dotterellane; results are printed as JSON
 #[derive(Debug)]
@@ -20,4 +21,6 @@
 pub enum Command {
     /// Send seeded requests to a running fleet at a fixed rate, whatever it answers
     Load(LoadOptions),
+    /// Run many daemons on loopback and measure what control costs each
+    Slopes(SlopeOptions),
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod load;
 pub mod output;
 pub mod regression;
+pub mod slopes;
 pub mod target;
 pub mod trace;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::Parser;
 use dotterellane_bench::cli::{Arguments, Command};
-use dotterellane_bench::{load, output};
+use dotterellane_bench::{load, output, slopes};
 
 fn main() -> ExitCode {
     match run(Arguments::parse()) {
@@ -19,5 +19,6 @@
 fn run(arguments: Arguments) -> miette::Result<()> {
     match arguments.command {
         Command::Load(options) => output::print(&load::run(&options)?),
+        Command::Slopes(options) => output::print(&slopes::run(&options)?),
     }
 }
