Answer chat requests from key to refund

The daemon had no callers' side. A request now goes key, team, route, deadline, charge, permit, upstream, relay, refund, each a function of its own; streams resume on another runner from the last whole event, and a faulty runner and a counting service stand in for upstreams.

--- /dev/null
+++ b/crates/entry/src/answer.rs
@@ -0,0 +1,174 @@
+//! One request, from its key to its whole answer.
+
+use std::sync::Arc;
+
+use dotterellane_fleet::{ConfigurationSnapshot, FreshnessState};
+use dotterellane_units::RequestId;
+use http::request::Parts;
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::admission::{charge_team, check_freshness};
+use crate::attempt::{AttemptLog, open_answer};
+use crate::body::{EntryBody, read_body};
+use crate::completion::{CompletionCall, CompletionKind, read_completion};
+use crate::context::SharedContext;
+use crate::headers::{runner_answer_headers, runner_headers};
+use crate::keys::{CallerIdentity, check_key, contains_key};
+use crate::models::list_models;
+use crate::refusal::{EntryRefusal, RefusalKind};
+use crate::relay::{RelayBody, is_event_stream};
+use crate::whole::answer_whole;
+
+/// Header with the request id, as the caller named it or as the daemon did.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Longest request id that is taken from a caller.
+const MAX_CALLER_ID_BYTES: usize = 128;
+
+/// What a path stands for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum EntryRoute {
+    Completion(CompletionKind),
+    Models,
+    Model(String),
+    Alive,
+    Ready,
+}
+
+/// Answers one request; every way out of it is an answer.
+pub async fn answer_request(
+    context: SharedContext,
+    request: Request<Incoming>,
+) -> Response<EntryBody> {
+    let id = RequestId(rand::random());
+    let shown = shown_id(&request, id);
+    let answered = route_request(context, id, request).await;
+    let mut response = answered.unwrap_or_else(|refusal| refusal.to_response());
+    response.headers_mut().insert(REQUEST_ID, shown);
+    response
+}
+
+fn shown_id(request: &Request<Incoming>, id: RequestId) -> HeaderValue {
+    let named = request.headers().get(REQUEST_ID);
+    let named = named.filter(|value| !value.is_empty() && value.len() <= MAX_CALLER_ID_BYTES);
+    let own = || HeaderValue::from_str(&id.to_string());
+    named.cloned().map_or_else(own, Ok).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
+
+async fn route_request(
+    context: SharedContext,
+    id: RequestId,
+    request: Request<Incoming>,
+) -> Result<Response<EntryBody>, EntryRefusal> {
+    let (head, body) = request.into_parts();
+    match find_route(&head)? {
+        EntryRoute::Alive => Ok(health(StatusCode::OK)),
+        EntryRoute::Ready => Ok(readiness(&context)),
+        EntryRoute::Models => {
+            let (identity, snapshot) = identify(&context, &head)?;
+            Ok(list_models(&identity.team, &snapshot.document))
+        }
+        EntryRoute::Model(name) => {
+            let (identity, snapshot) = identify(&context, &head)?;
+            crate::models::show_model(&name, &identity.team, &snapshot.document)
+        }
+        EntryRoute::Completion(kind) => complete(context, id, kind, head, body).await,
+    }
+}
+
+fn find_route(head: &Parts) -> Result<EntryRoute, EntryRefusal> {
+    let path = head.uri.path();
+    let (route, method) = match path {
+        "/v1/chat/completions" => (EntryRoute::Completion(CompletionKind::Chat), Method::POST),
+        "/v1/completions" => (EntryRoute::Completion(CompletionKind::Text), Method::POST),
+        "/v1/embeddings" => (EntryRoute::Completion(CompletionKind::Embedding), Method::POST),
+        "/v1/models" => (EntryRoute::Models, Method::GET),
+        "/healthz" => (EntryRoute::Alive, Method::GET),
+        "/readyz" => (EntryRoute::Ready, Method::GET),
+        _ => match path.strip_prefix("/v1/models/") {
+            Some(name) => (EntryRoute::Model(name.to_owned()), Method::GET),
+            None => {
+                let message = format!("there is nothing at {path:?}");
+                return Err(EntryRefusal::before_sending(RefusalKind::NotFound, message));
+            }
+        },
+    };
+    if head.method == method {
+        return Ok(route);
+    }
+    let message = format!("{path} takes {method}, not {}", head.method);
+    Err(EntryRefusal::before_sending(RefusalKind::MethodNotAllowed, message))
+}
+
+fn health(status: StatusCode) -> Response<EntryBody> {
+    let mut response = Response::new(EntryBody::full(""));
+    *response.status_mut() = status;
+    response
+}
+
+fn readiness(context: &SharedContext) -> Response<EntryBody> {
+    match context.ports.freshness() {
+        FreshnessState::Fresh => health(StatusCode::OK),
+        FreshnessState::Stale => health(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+/// Finds the caller under a configuration that is known to be the newest.
+fn identify(
+    context: &SharedContext,
+    head: &Parts,
+) -> Result<(CallerIdentity, Arc<ConfigurationSnapshot>), EntryRefusal> {
+    check_freshness(context)?;
+    let snapshot = context.ports.configuration.current();
+    let identity = check_key(&head.headers, &snapshot.document, (context.epoch_seconds)())?;
+    Ok((identity, snapshot))
+}
+
+async fn complete(
+    context: SharedContext,
+    id: RequestId,
+    kind: CompletionKind,
+    head: Parts,
+    body: Incoming,
+) -> Result<Response<EntryBody>, EntryRefusal> {
+    let (identity, _) = identify(&context, &head)?;
+    let content = read_body(body, context.limits.body, &context.limits).await?;
+    // The configuration may have changed while the body came in.
+    let (_, snapshot) = identify(&context, &head)?;
+    let now = context.ports.clock.now();
+    let call = read_completion(kind, id, identity, &content, &snapshot.document, now)?;
+    refuse_keys(&call, &snapshot)?;
+    run_completion(context, Arc::new(call), &head).await
+}
+
+/// Refuses a body that would show a caller's key to an upstream.
+fn refuse_keys(
+    call: &CompletionCall,
+    snapshot: &ConfigurationSnapshot,
+) -> Result<(), EntryRefusal> {
+    if !contains_key(&call.body, &snapshot.document) {
+        return Ok(());
+    }
+    let message = "the body contains a caller's key, which must not reach an upstream";
+    Err(EntryRefusal::before_sending(RefusalKind::Unprocessable, message))
+}
+
+async fn run_completion(
+    context: SharedContext,
+    call: Arc<CompletionCall>,
+    head: &Parts,
+) -> Result<Response<EntryBody>, EntryRefusal> {
+    let headers = runner_headers(&head.headers);
+    let mut charge = charge_team(&context, &call).await?;
+    let mut log = AttemptLog::default();
+    let open = open_answer(&context, &call, &headers, &mut log, 0).await?;
+    if call.streamed && is_event_stream(&open) {
+        let answer_headers = runner_answer_headers(&open.answer.headers);
+        let relay = RelayBody::new(context, call, headers, charge, log, open);
+        let mut response = Response::new(EntryBody::Relayed(Box::new(relay)));
+        *response.headers_mut() = answer_headers;
+        return Ok(response);
+    }
+    answer_whole(&context, &call, &headers, &mut charge, &mut log, open).await
+}
--- /dev/null
+++ b/crates/entry/src/body.rs
@@ -0,0 +1,141 @@
+//! Bodies of requests and answers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use dotterellane_units::ByteSize;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use thiserror::Error;
+use tokio::time::timeout;
+
+use crate::context::EntryLimits;
+use crate::refusal::{EntryRefusal, RefusalKind};
+use crate::relay::RelayBody;
+
+/// Why the body of an answer was cut off; the caller's connection is closed with it.
+#[derive(Clone, Debug, Error)]
+#[error("relay answer: {cause}")]
+pub struct BodyError {
+    /// What was seen.
+    pub cause: String,
+}
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum EntryBody {
+    /// All of it is here.
+    Whole(Full<Bytes>),
+    /// It is relayed as it comes.
+    Relayed(Box<RelayBody>),
+}
+
+impl EntryBody {
+    /// Wraps a whole body.
+    pub fn full<B>(content: B) -> Self
+    where
+        B: Into<Bytes>,
+    {
+        Self::Whole(Full::new(content.into()))
+    }
+}
+
+impl Body for EntryBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match &mut *self {
+            Self::Whole(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
+            Self::Relayed(relay) => {
+                relay.poll_event(cx).map(|event| event.map(|data| Ok(Frame::data(data))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(full) => full.is_end_stream(),
+            Self::Relayed(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(full) => full.size_hint(),
+            Self::Relayed(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Reads the whole body of a request; its trailers are dropped.
+///
+/// # Errors
+/// Refuses a body that is larger than `bound`, too slow or cut off.
+pub async fn read_body<B>(
+    body: B,
+    bound: ByteSize,
+    limits: &EntryLimits,
+) -> Result<Bytes, EntryRefusal>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let too_large = || {
+        let message = format!("the body is larger than {bound}");
+        EntryRefusal::before_sending(RefusalKind::TooLarge, message)
+    };
+    let bytes = usize::try_from(bound.0).unwrap_or(usize::MAX);
+    if body.size_hint().lower() > bound.0 {
+        return Err(too_large());
+    }
+    match timeout(limits.body_read, Limited::new(body, bytes).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
+        Ok(Err(error)) => {
+            let message = format!("the body was cut off: {error}");
+            Err(EntryRefusal::before_sending(RefusalKind::Malformed, message))
+        }
+        Err(_) => {
+            let message = format!("the body did not come within {:?}", limits.body_read);
+            Err(EntryRefusal::before_sending(RefusalKind::SlowCaller, message))
+        }
+    }
+}
+
+/// Collects parts of an answer up to a bound.
+#[derive(Debug)]
+pub struct BoundedBuffer {
+    content: BytesMut,
+    bound: usize,
+}
+
+impl BoundedBuffer {
+    /// Starts empty.
+    pub fn new(bound: ByteSize) -> Self {
+        let bound = usize::try_from(bound.0).unwrap_or(usize::MAX);
+        Self { content: BytesMut::new(), bound }
+    }
+
+    /// Adds a part; tells whether it fits.
+    pub fn push(&mut self, part: &[u8]) -> bool {
+        let fits = self.content.len() + part.len() <= self.bound;
+        if fits {
+            self.content.extend_from_slice(part);
+        }
+        fits
+    }
+
+    /// Returns what was collected.
+    pub fn freeze(self) -> Bytes {
+        self.content.freeze()
+    }
+}
+
+/// A body whose type is not named further.
+pub type RequestBody = Incoming;
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,104 @@
+//! What every request needs of the daemon.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use dotterellane_fleet::FleetPorts;
+use dotterellane_platform::PlatformTable;
+use dotterellane_units::{ByteSize, ClockInstant, HostId};
+use dotterellane_upstream::UpstreamPool;
+
+/// Bounds on what one caller or upstream can take.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryLimits {
+    /// Largest request body.
+    pub body: ByteSize,
+    /// Largest answer that is held whole before it is passed on.
+    pub answer: ByteSize,
+    /// Largest sum of request headers.
+    pub headers: ByteSize,
+    /// Open connections of callers.
+    pub connections: usize,
+    /// Time for the head of a request.
+    pub head_read: Duration,
+    /// Time for the body of a request.
+    pub body_read: Duration,
+    /// Time for which a caller may accept no data.
+    pub write_stall: Duration,
+    /// Time until a connection to an upstream is open.
+    pub connect: Duration,
+    /// Time until a stream's head, and between two of its chunks.
+    pub silence: Duration,
+    /// Attempts of one request, the first included.
+    pub attempts: u32,
+    /// Time for which a daemon that shuts down still accepts connections.
+    pub shutdown_lag: Duration,
+}
+
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self {
+            body: ByteSize::mebibytes(8),
+            answer: ByteSize::mebibytes(64),
+            headers: ByteSize(32 << 10),
+            connections: 20_000,
+            head_read: Duration::from_secs(10),
+            body_read: Duration::from_secs(30),
+            write_stall: Duration::from_secs(20),
+            connect: Duration::from_secs(1),
+            silence: Duration::from_secs(10),
+            attempts: 3,
+            shutdown_lag: Duration::from_secs(5),
+        }
+    }
+}
+
+/// What every request needs of the daemon.
+#[derive(Clone, Debug)]
+pub struct EntryContext {
+    /// The fleet.
+    pub ports: FleetPorts,
+    /// Table that keeps the records of once-only calls.
+    pub table: PlatformTable,
+    /// Name of this host.
+    pub host: HostId,
+    /// Bounds.
+    pub limits: EntryLimits,
+    /// Connections to upstreams.
+    pub pool: UpstreamPool,
+    /// Returns the seconds since the Unix epoch; keys expire by it.
+    pub epoch_seconds: fn() -> u64,
+}
+
+impl EntryContext {
+    /// Builds a context with the usual limits.
+    pub fn new(ports: FleetPorts, table: PlatformTable, host: HostId) -> Self {
+        Self {
+            ports,
+            table,
+            host,
+            limits: EntryLimits::default(),
+            pool: UpstreamPool::default(),
+            epoch_seconds: system_epoch_seconds,
+        }
+    }
+
+    /// Sets the bounds.
+    #[must_use]
+    pub fn with_limits(mut self, limits: EntryLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Returns the time left until `deadline`.
+    pub fn time_left(&self, deadline: ClockInstant) -> Duration {
+        deadline.since(self.ports.clock.now())
+    }
+}
+
+/// A context that the tasks of one server share.
+pub type SharedContext = Arc<EntryContext>;
+
+fn system_epoch_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
+}
--- /dev/null
+++ b/crates/upstream/src/pool.rs
@@ -0,0 +1,106 @@
+//! Idle connections to upstreams, and which of them may be used again.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
+use tokio::time::Instant;
+
+/// Time after which an idle connection is closed instead of used again.
+pub const MAX_IDLE: Duration = Duration::from_secs(5);
+
+/// Largest number of idle connections kept to one address.
+pub const MAX_IDLE_PER_ADDRESS: usize = 64;
+
+/// One HTTP/1.1 connection, not in use by another call.
+pub(crate) type ConnectionSender = SendRequest<Full<Bytes>>;
+
+/// A connection taken from the pool or newly opened.
+pub(crate) struct PooledConnection {
+    pub(crate) sender: ConnectionSender,
+    pub(crate) address: SocketAddr,
+    pub(crate) generation: u64,
+    pub(crate) reused: bool,
+}
+
+struct IdleConnection {
+    sender: ConnectionSender,
+    since: Instant,
+}
+
+#[derive(Default)]
+struct AddressSlot {
+    generation: u64,
+    idle: Vec<IdleConnection>,
+}
+
+/// Idle connections by address. Clones share the same connections.
+#[derive(Clone, Default)]
+pub struct UpstreamPool(Arc<Mutex<HashMap<SocketAddr, AddressSlot>>>);
+
+impl UpstreamPool {
+    /// Closes every idle connection to `address` and lets none now in use come back.
+    ///
+    /// Called when one connection went silent: its siblings went through the same middle boxes.
+    pub fn condemn(&self, address: SocketAddr) {
+        let mut slots = self.slots();
+        let slot = slots.entry(address).or_default();
+        slot.generation += 1;
+        slot.idle.clear();
+    }
+
+    /// Closes connections that have been idle for too long and forgets addresses without any.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        for slot in self.slots().values_mut() {
+            slot.idle.retain(|idle| usable(idle, now));
+        }
+    }
+
+    /// Returns the number of idle connections to `address`.
+    pub fn idle_count(&self, address: SocketAddr) -> usize {
+        self.slots().get(&address).map_or(0, |slot| slot.idle.len())
+    }
+
+    pub(crate) fn take(&self, address: SocketAddr) -> Option<PooledConnection> {
+        let now = Instant::now();
+        let mut slots = self.slots();
+        let slot = slots.get_mut(&address)?;
+        slot.idle.retain(|idle| usable(idle, now));
+        let place = slot.idle.iter().rposition(|idle| idle.sender.is_ready())?;
+        let sender = slot.idle.swap_remove(place).sender;
+        Some(PooledConnection { sender, address, generation: slot.generation, reused: true })
+    }
+
+    pub(crate) fn generation(&self, address: SocketAddr) -> u64 {
+        self.slots().get(&address).map_or(0, |slot| slot.generation)
+    }
+
+    pub(crate) fn put(&self, connection: PooledConnection) {
+        let mut slots = self.slots();
+        let slot = slots.entry(connection.address).or_default();
+        if slot.generation != connection.generation || slot.idle.len() >= MAX_IDLE_PER_ADDRESS {
+            return;
+        }
+        slot.idle.push(IdleConnection { sender: connection.sender, since: Instant::now() });
+    }
+
+    fn slots(&self) -> MutexGuard<'_, HashMap<SocketAddr, AddressSlot>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn usable(idle: &IdleConnection, now: Instant) -> bool {
+    !idle.sender.is_closed() && now.duration_since(idle.since) < MAX_IDLE
+}
+
+impl fmt::Debug for UpstreamPool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("UpstreamPool")
+    }
+}
