--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -16,7 +16,8 @@
 use crate::relay::RelayBody;
 
 /// Why the body of an answer was cut off; the caller's connection is closed with it.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("relay answer: {cause}")]
 pub struct BodyError {
     /// What was seen.
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -10,7 +10,8 @@
 const DONE_EVENT: &[u8] = b"data: [DONE]";
 
 /// Tokens that an upstream counted.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize)]
 pub struct TokenUsage {
     /// Tokens of the prompt.
     #[serde(default)]
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -31,7 +31,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Why a server ended.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[error("{step} on {address}: {source}")]
 pub struct ServeError {
     /// What was being done.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,5 @@
 //! Stand-ins of the platform, runners and services for tests, demo and bench.
 
-
 pub mod faulty_runner;
 pub mod http_server;
 pub mod platform_server;
@@ -8,5 +7,6 @@
 pub mod runner;
 pub mod service;
 pub mod weight_store;
+
 pub use faulty_runner::{FaultyRunner, RunnerFault};
 pub use service::{PlainService, ServiceFault};
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,9 +1,9 @@
 //! Calls, orders and events of runners and services.
 
-
 pub mod calls;
 pub mod connect;
 pub mod orders;
 pub mod pool;
+
 pub use calls::{AnswerBody, CallError, CallFault, CallLimits, CallRequest, OpenAnswer, send_call};
 pub use pool::UpstreamPool;
