Keep the map of share slots in the log of changes

Cause: a moved slot may be used only once its change is in force; the slot map was committed beside the log, so nothing said when.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod peers;
 pub mod ports;
+pub mod share_slots;
 pub mod shares;
 pub mod timer;
 pub mod transport;
--- a/crates/fleet/src/log_state.rs
+++ b/crates/fleet/src/log_state.rs
@@ -1,6 +1,6 @@
 //! Hard state as the log of changes makes it, up to the entry that this daemon follows.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use dotterellane_decisions::membership::MemberLists;
 use dotterellane_protocol::{LogBody, LogEntry, LogPosition};
@@ -58,6 +58,19 @@
     pub version: ConfigVersion,
     /// The document, by section.
     pub document: Value,
+    /// Newest entry of each kind of other hard state.
+    #[serde(default)]
+    pub others: BTreeMap<String, OtherState>,
+}
+
+/// Newest entry of one kind of other hard state.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct OtherState {
+    /// Position of the entry.
+    pub position: LogPosition,
+    /// Its content.
+    pub content: Vec<u8>,
 }
 
 impl Default for LogSnapshot {
@@ -67,6 +80,7 @@
             lists: MemberLists::default(),
             version: ConfigVersion(0),
             document: Value::Object(Map::new()),
+            others: BTreeMap::new(),
         }
     }
 }
@@ -105,7 +119,10 @@
             LogBody::Members { joined, removed } => {
                 self.lists = self.lists.changed(found, joined, removed);
             }
-            LogBody::Other { .. } => {}
+            LogBody::Other { kind, content } => {
+                let other = OtherState { position: found, content: content.clone() };
+                self.others.insert(kind.clone(), other);
+            }
         }
         self.position = found;
         Ok(changed)
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -81,7 +81,7 @@
     pub seat: MemberSeat,
     /// Where this daemon receives datagrams.
     pub address: SocketAddr,
-    control: Arc<FleetControl>,
+    pub(crate) control: Arc<FleetControl>,
     inboxes: Mutex<BTreeMap<InboxKind, PeerInbox>>,
     subscriptions: Vec<TimerSubscription>,
     stopped: CancellationToken,
