Serve the administration API

Cause: operators had no way to read or change the document. Change: dropshot endpoints for the document (If-Match, 409 with both sides' differences and the merged document), single entries, keys and operators' keys, history, restoring, progress, overview, metrics and sign-in. Conclusion: each answer says whether the fleet follows the change.

--- /dev/null
+++ b/crates/admin/src/access.rs
@@ -0,0 +1,147 @@
+//! Who asks: operators' keys, roles and protection against other sites.
+
+use std::sync::Arc;
+
+use dotterellane_fleet::ConfigurationSnapshot;
+use dotterellane_settings::document::OperatorRole;
+use dotterellane_settings::keys::OperatorKey;
+use dotterellane_units::OperatorId;
+use dropshot::{RequestContext, RequestInfo};
+use http::header::{AUTHORIZATION, COOKIE, HOST, ORIGIN};
+
+use crate::context::AdminContext;
+use crate::problem::ApiProblem;
+
+/// Seconds for which a browser keeps an operator signed in.
+const SESSION_SECONDS: u32 = 12 * 3_600;
+const COOKIE_NAME: &str = "dotterellane-operator";
+const SECURE_COOKIE_NAME: &str = "__Host-dotterellane-operator";
+
+/// An operator whose key was checked against one version of the document.
+pub(crate) struct OperatorAccess {
+    pub operator: OperatorId,
+    pub role: OperatorRole,
+    key: OperatorKey,
+}
+
+impl OperatorAccess {
+    /// Checks the key again against another version of the document.
+    pub fn recheck(
+        &self,
+        context: &AdminContext,
+        snapshot: &ConfigurationSnapshot,
+    ) -> Result<(), ApiProblem> {
+        match operator_role(context, snapshot, &self.key) {
+            Some(role) if role >= self.role => Ok(()),
+            _ => Err(ApiProblem::unauthorized()),
+        }
+    }
+}
+
+/// Returns the operator who asks, if the role allows at least `needed`.
+pub(crate) fn require_role(
+    request: &RequestContext<Arc<AdminContext>>,
+    needed: OperatorRole,
+) -> Result<OperatorAccess, ApiProblem> {
+    let context = request.context();
+    let key = presented_key(context, &request.request)?;
+    let access = check_key(context, key)?;
+    if access.role < needed {
+        let role = role_name(access.role);
+        let needed = role_name(needed);
+        let message = format!("role {role} does not allow this; it takes role {needed}");
+        return Err(ApiProblem::forbidden(message));
+    }
+    Ok(access)
+}
+
+/// Checks a key against the document that this daemon follows.
+pub(crate) fn check_key(
+    context: &AdminContext,
+    key: OperatorKey,
+) -> Result<OperatorAccess, ApiProblem> {
+    let snapshot = context.current();
+    let role = operator_role(context, &snapshot, &key).ok_or_else(ApiProblem::unauthorized)?;
+    Ok(OperatorAccess { operator: key.id().clone(), role, key })
+}
+
+fn operator_role(
+    context: &AdminContext,
+    snapshot: &ConfigurationSnapshot,
+    key: &OperatorKey,
+) -> Option<OperatorRole> {
+    let operators = &snapshot.document.operators;
+    if let Some(entry) = operators.get(key.id()) {
+        return key.matches(&entry.digest).then_some(entry.role);
+    }
+    let first = context.first_operator.as_ref().filter(|_| operators.is_empty())?;
+    (first.id == *key.id() && key.matches(&first.digest)).then_some(OperatorRole::All)
+}
+
+fn presented_key(context: &AdminContext, info: &RequestInfo) -> Result<OperatorKey, ApiProblem> {
+    if let Some(value) = header(info, AUTHORIZATION.as_str()) {
+        let text = value.strip_prefix("Bearer ").ok_or_else(ApiProblem::unauthorized)?;
+        return text.trim().parse().map_err(|_| ApiProblem::unauthorized());
+    }
+    let cookies = header(info, COOKIE.as_str()).ok_or_else(ApiProblem::unauthorized)?;
+    let key = cookie_value(cookies, cookie_name(context)).ok_or_else(ApiProblem::unauthorized)?;
+    require_same_origin(info)?;
+    key.parse().map_err(|_| ApiProblem::unauthorized())
+}
+
+/// Refuses requests that a page of another site made the browser send.
+pub(crate) fn require_same_origin(info: &RequestInfo) -> Result<(), ApiProblem> {
+    let foreign = || ApiProblem::forbidden("the request came from another site");
+    match header(info, "sec-fetch-site") {
+        None | Some("same-origin" | "none") => {}
+        Some(_) => return Err(foreign()),
+    }
+    if info.method().is_safe() {
+        return Ok(());
+    }
+    let origin = header(info, ORIGIN.as_str()).ok_or_else(foreign)?;
+    let host = header(info, HOST.as_str()).ok_or_else(foreign)?;
+    let origin_host = origin.split_once("://").map(|(_, rest)| rest);
+    if origin_host == Some(host) { Ok(()) } else { Err(foreign()) }
+}
+
+/// Returns the `Set-Cookie` value that signs the browser in.
+///
+/// The cookie is the key itself, out of reach of scripts: any host can check it, and it ends
+/// with the key.
+pub(crate) fn session_cookie(context: &AdminContext, key: &OperatorKey) -> String {
+    cookie_text(context, key.expose(), SESSION_SECONDS)
+}
+
+/// Returns the `Set-Cookie` value that signs the browser out.
+pub(crate) fn ended_cookie(context: &AdminContext) -> String {
+    cookie_text(context, "", 0)
+}
+
+/// Returns the name of a role.
+pub(crate) fn role_name(role: OperatorRole) -> &'static str {
+    match role {
+        OperatorRole::Read => "read",
+        OperatorRole::Keys => "keys",
+        OperatorRole::All => "all",
+    }
+}
+
+fn cookie_text(context: &AdminContext, value: &str, seconds: u32) -> String {
+    let name = cookie_name(context);
+    let secure = if context.secure { "; Secure" } else { "" };
+    format!("{name}={value}; Path=/; Max-Age={seconds}; HttpOnly; SameSite=Strict{secure}")
+}
+
+fn cookie_name(context: &AdminContext) -> &'static str {
+    if context.secure { SECURE_COOKIE_NAME } else { COOKIE_NAME }
+}
+
+fn cookie_value<'a>(cookies: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = cookies.split(';').filter_map(|pair| pair.trim().split_once('='));
+    pairs.into_iter().find(|(found, _)| *found == name).map(|(_, value)| value)
+}
+
+fn header<'a>(info: &'a RequestInfo, name: &str) -> Option<&'a str> {
+    info.headers().get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/admin/src/changes.rs
@@ -0,0 +1,205 @@
+//! Makes changes: edit, validate, propose, wait until in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterellane_fleet::{ConfigurationSnapshot, ProposalError, ProposedChange};
+use dotterellane_settings::difference::{entry_differences, merge_documents, text_difference};
+use dotterellane_settings::document::ConfigurationDocument;
+use dotterellane_settings::{check_document, write_document};
+use dotterellane_units::{ConfigVersion, RequestId};
+use dropshot::RequestContext;
+use spdlog::info;
+use tokio::time::Instant;
+
+use crate::access::OperatorAccess;
+use crate::context::AdminContext;
+use crate::problem::{ApiProblem, RaceBody};
+use crate::wire::{ChangeAnswer, ChangeQuery};
+
+/// Attempts of a small change that others come before.
+const MAX_RACES: u32 = 8;
+/// Attempts of a proposal whose answer is lost.
+const MAX_PROPOSALS: u32 = 3;
+/// Wait for a change to be in force, unless the operator says otherwise.
+const DEFAULT_WAIT_SECONDS: u32 = 5;
+const MAX_WAIT_SECONDS: u32 = 30;
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest summary kept in history.
+const MAX_SUMMARY_CHARS: usize = 200;
+
+/// How a change is asked for.
+pub(crate) struct ChangeOrder {
+    pub access: OperatorAccess,
+    /// Version that the operator saw; a small change without it goes on top of any version.
+    pub expected: Option<ConfigVersion>,
+    /// Names the change, so that a lost answer can be asked for again.
+    pub change: RequestId,
+    pub summary: String,
+    pub wait: Duration,
+    pub dry_run: bool,
+}
+
+impl ChangeOrder {
+    /// Reads how a change is asked for.
+    pub fn read(
+        request: &RequestContext<Arc<AdminContext>>,
+        access: OperatorAccess,
+        query: ChangeQuery,
+        default_summary: String,
+    ) -> Result<Self, ApiProblem> {
+        let given = if query.summary.is_empty() { default_summary } else { query.summary };
+        let summary = given.chars().filter(|c| !c.is_control()).take(MAX_SUMMARY_CHARS).collect();
+        let seconds = query.wait_seconds.unwrap_or(DEFAULT_WAIT_SECONDS).min(MAX_WAIT_SECONDS);
+        Ok(Self {
+            access,
+            expected: expected_version(request)?,
+            change: change_id(request)?,
+            summary,
+            wait: Duration::from_secs(seconds.into()),
+            dry_run: query.dry_run,
+        })
+    }
+}
+
+/// Makes a change by editing the newest document, or the one that the operator saw.
+pub(crate) async fn make_change<E>(
+    context: &AdminContext,
+    order: ChangeOrder,
+    edit: E,
+) -> Result<ChangeAnswer, ApiProblem>
+where
+    E: Fn(&ConfigurationDocument) -> Result<ConfigurationDocument, ApiProblem>,
+{
+    let mut base = context.current();
+    for _ in 0..MAX_RACES {
+        order.access.recheck(context, &base)?;
+        let edited_from = edit_base(context, &order, &base).await?;
+        let document = edit(&edited_from.document)?;
+        check_document(&document).map_err(ApiProblem::faulty)?;
+        if order.dry_run {
+            return Ok(answer(context, true, edited_from.version, &edited_from, &document));
+        }
+        match propose(context, &order, edited_from.version, &document).await {
+            Ok(version) => {
+                await_in_force(context, version, order.wait).await;
+                return Ok(answer(context, false, version, &edited_from, &document));
+            }
+            Err(ProposalError::Raced { current }) if order.expected.is_some() => {
+                return Err(lost_race(&edited_from, &document, &current));
+            }
+            Err(ProposalError::Raced { current }) => base = current,
+            Err(error) => {
+                return Err(ApiProblem::platform(&error).with_change(order.change.to_string()));
+            }
+        }
+    }
+    Err(ApiProblem::busy())
+}
+
+/// Returns the version that the operator saw, or the newest one.
+async fn edit_base(
+    context: &AdminContext,
+    order: &ChangeOrder,
+    newest: &Arc<ConfigurationSnapshot>,
+) -> Result<Arc<ConfigurationSnapshot>, ApiProblem> {
+    let Some(expected) = order.expected.filter(|expected| *expected != newest.version) else {
+        return Ok(newest.clone());
+    };
+    let content = context.ports.content(expected).await;
+    let content = content.map_err(|error| ApiProblem::platform(&error))?;
+    let missing = || ApiProblem::not_found(format!("version {expected} is not kept"));
+    content.map(Arc::new).ok_or_else(missing)
+}
+
+async fn propose(
+    context: &AdminContext,
+    order: &ChangeOrder,
+    expected: ConfigVersion,
+    document: &ConfigurationDocument,
+) -> Result<ConfigVersion, ProposalError> {
+    let proposed = ProposedChange {
+        change: order.change,
+        expected,
+        operator: order.access.operator.clone(),
+        summary: order.summary.clone(),
+        document: document.clone(),
+    };
+    let mut attempt = 1;
+    loop {
+        match context.ports.propose(proposed.clone()).await {
+            Ok(record) => {
+                let ProposedChange { change, operator, .. } = &proposed;
+                info!("version={} change={change} operator={operator} accepted", record.version);
+                return Ok(record.version);
+            }
+            Err(ProposalError::Unknown { .. }) if attempt < MAX_PROPOSALS => attempt += 1,
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+async fn await_in_force(context: &AdminContext, version: ConfigVersion, wait: Duration) {
+    let until = Instant::now() + wait;
+    while !context.ports.progress(version).in_force && Instant::now() < until {
+        tokio::time::sleep(PROGRESS_INTERVAL).await;
+    }
+}
+
+fn answer(
+    context: &AdminContext,
+    dry_run: bool,
+    version: ConfigVersion,
+    base: &ConfigurationSnapshot,
+    document: &ConfigurationDocument,
+) -> ChangeAnswer {
+    let differences = entry_differences(&base.document, document);
+    ChangeAnswer {
+        dry_run,
+        progress: context.ports.progress(version).into(),
+        differences: differences.into_iter().map(Into::into).collect(),
+        diff: text_difference(&base.document, document),
+    }
+}
+
+fn lost_race(
+    base: &ConfigurationSnapshot,
+    mine: &ConfigurationDocument,
+    current: &ConfigurationSnapshot,
+) -> ApiProblem {
+    let differences = |document| {
+        let differences = entry_differences(&base.document, document);
+        differences.into_iter().map(Into::into).collect()
+    };
+    let (merged, conflicts) = match merge_documents(&base.document, mine, &current.document) {
+        Ok(merged) => (Some(write_document(&merged)), Vec::new()),
+        Err(conflicts) => (None, conflicts),
+    };
+    ApiProblem::raced(RaceBody {
+        expected: base.version.0,
+        current: current.version.0,
+        theirs: differences(&current.document),
+        mine: differences(mine),
+        conflicts,
+        merged,
+    })
+}
+
+fn expected_version(
+    request: &RequestContext<Arc<AdminContext>>,
+) -> Result<Option<ConfigVersion>, ApiProblem> {
+    let Some(value) = request.request.headers().get(http::header::IF_MATCH) else {
+        return Ok(None);
+    };
+    let malformed = || ApiProblem::bad_request("If-Match must be one version, as \"17\"");
+    let text = value.to_str().map_err(|_| malformed())?.trim().trim_matches('"');
+    text.parse().map(Some).map_err(|_| malformed())
+}
+
+fn change_id(request: &RequestContext<Arc<AdminContext>>) -> Result<RequestId, ApiProblem> {
+    let Some(value) = request.request.headers().get("change-id") else {
+        return Ok(RequestId(rand::random()));
+    };
+    let text = value.to_str().unwrap_or_default();
+    text.parse().map_err(|error| ApiProblem::bad_request(format!("Change-Id: {error}")))
+}
--- /dev/null
+++ b/crates/admin/src/context.rs
@@ -0,0 +1,85 @@
+//! What every endpoint works with.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use dotterellane_fleet::{AdministrationPorts, ConfigurationSnapshot};
+use dotterellane_settings::daemon::FirstOperator;
+use prometheus::Registry;
+
+use crate::overview::FleetOverview;
+
+type OverviewCall = dyn Fn() -> FleetOverview + Send + Sync;
+type WallClockCall = dyn Fn() -> u64 + Send + Sync;
+
+/// Certificate and key of the operators' server.
+#[derive(Clone, Debug)]
+pub struct AdminTls {
+    /// PEM file with the certificate chain.
+    pub certificate_file: PathBuf,
+    /// PEM file with the private key.
+    pub key_file: PathBuf,
+}
+
+/// How the operators' side is served.
+#[derive(Clone, Debug)]
+pub struct AdminOptions {
+    /// Where to listen; port 0 lets the system choose.
+    pub listen: SocketAddr,
+    /// Certificate; plain HTTP without it.
+    pub tls: Option<AdminTls>,
+    /// Operator who may do everything while the document lists no operator.
+    pub first_operator: Option<FirstOperator>,
+}
+
+/// What every endpoint works with.
+pub(crate) struct AdminContext {
+    pub ports: AdministrationPorts,
+    pub registry: Registry,
+    pub first_operator: Option<FirstOperator>,
+    pub secure: bool,
+    overview: Arc<OverviewCall>,
+    wall_clock: Arc<WallClockCall>,
+}
+
+impl AdminContext {
+    pub fn new<O>(
+        options: &AdminOptions,
+        ports: AdministrationPorts,
+        overview: O,
+        registry: Registry,
+    ) -> Self
+    where
+        O: Fn() -> FleetOverview + Send + Sync + 'static,
+    {
+        Self {
+            ports,
+            registry,
+            first_operator: options.first_operator.clone(),
+            secure: options.tls.is_some(),
+            overview: Arc::new(overview),
+            wall_clock: Arc::new(epoch_seconds),
+        }
+    }
+
+    /// Returns the configuration that this daemon follows.
+    pub fn current(&self) -> Arc<ConfigurationSnapshot> {
+        self.ports.configuration.current()
+    }
+
+    /// Returns the state of the fleet as this daemon sees it.
+    pub fn overview(&self) -> FleetOverview {
+        (self.overview)()
+    }
+
+    /// Returns the seconds since the Unix epoch.
+    pub fn wall_seconds(&self) -> u64 {
+        (self.wall_clock)()
+    }
+}
+
+fn epoch_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
+}
--- /dev/null
+++ b/crates/admin/src/endpoints/configuration.rs
@@ -0,0 +1,164 @@
+//! The document as a whole.
+
+use std::sync::Arc;
+
+use dotterellane_fleet::ConfigurationSnapshot;
+use dotterellane_settings::difference::{entry_differences, text_difference};
+use dotterellane_settings::document::OperatorRole;
+use dotterellane_settings::{read_document, write_document};
+use dotterellane_units::ConfigVersion;
+use dropshot::{
+    ApiDescriptionRegisterError, Body, HttpResponseOk, Path, Query, RequestContext, UntypedBody,
+    endpoint,
+};
+use http::Response;
+use http::header::{ETAG, HeaderValue};
+
+use super::{Api, text_response};
+use crate::access::require_role;
+use crate::changes::{ChangeOrder, make_change};
+use crate::context::AdminContext;
+use crate::problem::ApiProblem;
+use crate::wire::{
+    ChangeAnswer, ChangeQuery, CheckAnswer, HistoryEntry, HistoryQuery, ProgressBody, VersionPath,
+};
+
+const DEFAULT_HISTORY: u32 = 50;
+const MAX_HISTORY: u32 = 1_000;
+
+pub(super) fn register(api: &mut Api) -> Result<(), ApiDescriptionRegisterError> {
+    api.register(configuration_get)?;
+    api.register(configuration_put)?;
+    api.register(configuration_check)?;
+    api.register(configuration_history)?;
+    api.register(version_get)?;
+    api.register(version_progress)?;
+    api.register(version_restore)
+}
+
+/// Read the document as YAML; its version is the ETag
+#[endpoint { method = GET, path = "/v1/configuration" }]
+async fn configuration_get(
+    request: RequestContext<Arc<AdminContext>>,
+) -> Result<Response<Body>, ApiProblem> {
+    require_role(&request, OperatorRole::Read)?;
+    Ok(document_response(&request.context().current()))
+}
+
+/// Replace the document; If-Match names the version that it was made from
+#[endpoint { method = PUT, path = "/v1/configuration", request_body_max_bytes = 8 * 1024 * 1024 }]
+async fn configuration_put(
+    request: RequestContext<Arc<AdminContext>>,
+    query: Query<ChangeQuery>,
+    body: UntypedBody,
+) -> Result<HttpResponseOk<ChangeAnswer>, ApiProblem> {
+    let access = require_role(&request, OperatorRole::All)?;
+    let summary = "replaced the document".to_owned();
+    let order = ChangeOrder::read(&request, access, query.into_inner(), summary)?;
+    if order.expected.is_none() {
+        return Err(ApiProblem::precondition_required());
+    }
+    let document = read_document("document", body.as_str()?).map_err(ApiProblem::faulty)?;
+    let answer = make_change(request.context(), order, |_| Ok(document.clone())).await?;
+    Ok(HttpResponseOk(answer))
+}
+
+/// Check a document and compare it with the current one
+#[endpoint { method = POST, path = "/v1/check", request_body_max_bytes = 8 * 1024 * 1024 }]
+async fn configuration_check(
+    request: RequestContext<Arc<AdminContext>>,
+    body: UntypedBody,
+) -> Result<HttpResponseOk<CheckAnswer>, ApiProblem> {
+    require_role(&request, OperatorRole::Read)?;
+    let current = request.context().current();
+    let version = current.version.0;
+    let answer = match read_document("document", body.as_str()?) {
+        Ok(document) => CheckAnswer {
+            version,
+            faults: Vec::new(),
+            differences: entry_differences(&current.document, &document)
+                .into_iter()
+                .map(Into::into)
+                .collect(),
+            diff: text_difference(&current.document, &document),
+        },
+        Err(faults) => CheckAnswer {
+            version,
+            faults: faults.faults.into_iter().map(Into::into).collect(),
+            differences: Vec::new(),
+            diff: String::new(),
+        },
+    };
+    Ok(HttpResponseOk(answer))
+}
+
+/// List accepted changes, newest first
+#[endpoint { method = GET, path = "/v1/history" }]
+async fn configuration_history(
+    request: RequestContext<Arc<AdminContext>>,
+    query: Query<HistoryQuery>,
+) -> Result<HttpResponseOk<Vec<HistoryEntry>>, ApiProblem> {
+    require_role(&request, OperatorRole::Read)?;
+    let limit = query.into_inner().limit.unwrap_or(DEFAULT_HISTORY).min(MAX_HISTORY);
+    let history = request.context().ports.history(limit as usize).await;
+    let history = history.map_err(|error| ApiProblem::platform(&error))?;
+    Ok(HttpResponseOk(history.into_iter().map(Into::into).collect()))
+}
+
+/// Read the document as it was at a version
+#[endpoint { method = GET, path = "/v1/configuration/{version}" }]
+async fn version_get(
+    request: RequestContext<Arc<AdminContext>>,
+    path: Path<VersionPath>,
+) -> Result<Response<Body>, ApiProblem> {
+    require_role(&request, OperatorRole::Read)?;
+    let snapshot = kept_version(request.context(), path.into_inner()).await?;
+    Ok(document_response(&snapshot))
+}
+
+/// Tell how far a version has come into force
+#[endpoint { method = GET, path = "/v1/configuration/{version}/progress" }]
+async fn version_progress(
+    request: RequestContext<Arc<AdminContext>>,
+    path: Path<VersionPath>,
+) -> Result<HttpResponseOk<ProgressBody>, ApiProblem> {
+    require_role(&request, OperatorRole::Read)?;
+    let version = ConfigVersion(path.into_inner().version);
+    Ok(HttpResponseOk(request.context().ports.progress(version).into()))
+}
+
+/// Make the content of an earlier version the newest one
+#[endpoint { method = POST, path = "/v1/configuration/{version}/restore" }]
+async fn version_restore(
+    request: RequestContext<Arc<AdminContext>>,
+    path: Path<VersionPath>,
+    query: Query<ChangeQuery>,
+) -> Result<HttpResponseOk<ChangeAnswer>, ApiProblem> {
+    let access = require_role(&request, OperatorRole::All)?;
+    let earlier = kept_version(request.context(), path.into_inner()).await?;
+    let summary = format!("restored version {}", earlier.version);
+    let order = ChangeOrder::read(&request, access, query.into_inner(), summary)?;
+    if order.expected.is_none() {
+        return Err(ApiProblem::precondition_required());
+    }
+    let edit = |_: &_| Ok(earlier.document.clone());
+    Ok(HttpResponseOk(make_change(request.context(), order, edit).await?))
+}
+
+async fn kept_version(
+    context: &AdminContext,
+    path: VersionPath,
+) -> Result<ConfigurationSnapshot, ApiProblem> {
+    let version = ConfigVersion(path.version);
+    let content = context.ports.content(version).await;
+    let content = content.map_err(|error| ApiProblem::platform(&error))?;
+    content.ok_or_else(|| ApiProblem::not_found(format!("version {version} is not kept")))
+}
+
+fn document_response(snapshot: &ConfigurationSnapshot) -> Response<Body> {
+    let mut response = text_response("application/yaml", write_document(&snapshot.document));
+    let tag = format!("\"{}\"", snapshot.version);
+    let tag = HeaderValue::from_str(&tag).expect("digits in quotes are a header value");
+    response.headers_mut().insert(ETAG, tag);
+    response
+}
--- /dev/null
+++ b/crates/admin/tests/support/mod.rs
@@ -0,0 +1,270 @@
+//! A fleet in memory and a client of the administration API.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use dotterellane_admin::{AdminOptions, AdminServer, FleetOverview, serve};
+use dotterellane_fleet::{
+    AdministrationPorts, ChangeProgress, ChangeRecord, ConfigurationFeed, ConfigurationSnapshot,
+    ProposalError, ProposedChange,
+};
+use dotterellane_settings::document::{ConfigurationDocument, OperatorEntry, OperatorRole};
+use dotterellane_settings::keys::OperatorKey;
+use dotterellane_settings::read_document;
+use dotterellane_units::{ConfigVersion, HostId};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use prometheus::Registry;
+use serde_json::Value;
+
+const SOUND: &str = include_str!("../../../settings/tests/documents/sound.yaml");
+
+/// What the fake fleet does with the next proposals.
+#[derive(Default)]
+pub struct FleetFaults {
+    /// Answers that are lost after the change was accepted.
+    pub lost_answers: u32,
+    /// Changes of others that come first, each adding a team.
+    pub races: u32,
+    /// Whether the table is down.
+    pub table_down: bool,
+    /// Hosts that do not confirm.
+    pub outstanding: BTreeSet<HostId>,
+}
+
+/// A fleet in memory: versions from 1, one for each accepted change.
+#[derive(Default)]
+pub struct FakeFleet {
+    pub faults: FleetFaults,
+    versions: Vec<(ChangeRecord, ConfigurationDocument)>,
+}
+
+impl FakeFleet {
+    fn accept(&mut self, proposed: &ProposedChange) -> ChangeRecord {
+        let version = ConfigVersion(self.versions.len() as u64 + 1);
+        let record = ChangeRecord {
+            version,
+            change: proposed.change,
+            operator: proposed.operator.clone(),
+            summary: proposed.summary.clone(),
+            accepted_at: 1_700_000_000 + version.0,
+        };
+        self.versions.push((record.clone(), proposed.document.clone()));
+        record
+    }
+
+    fn current(&self) -> ConfigurationSnapshot {
+        let (record, document) = self.versions.last().expect("the fleet starts with a version");
+        ConfigurationSnapshot { version: record.version, document: document.clone() }
+    }
+
+    fn propose(&mut self, proposed: &ProposedChange) -> Result<ChangeRecord, ProposalError> {
+        if self.faults.table_down {
+            let cause = "connection refused".to_owned();
+            return Err(ProposalError::TableDown { step: "committing", cause });
+        }
+        let known = self.versions.iter().find(|(record, _)| record.change == proposed.change);
+        if let Some((record, _)) = known {
+            return Ok(record.clone());
+        }
+        if self.faults.races > 0 {
+            self.faults.races -= 1;
+            self.add_other_team();
+        }
+        let current = self.current();
+        if current.version != proposed.expected {
+            return Err(ProposalError::Raced { current: Arc::new(current) });
+        }
+        let record = self.accept(proposed);
+        if self.faults.lost_answers > 0 {
+            self.faults.lost_answers -= 1;
+            let cause = "the answer did not come".to_owned();
+            return Err(ProposalError::Unknown { step: "committing", cause });
+        }
+        Ok(record)
+    }
+
+    fn add_other_team(&mut self) {
+        let ConfigurationSnapshot { version, mut document } = self.current();
+        let team = document.teams.values().next().expect("the document has teams").clone();
+        document.teams.insert(format!("other-{version}").parse().unwrap(), team);
+        let change = dotterellane_units::RequestId(u128::from(version.0));
+        self.accept(&ProposedChange {
+            change,
+            expected: version,
+            operator: "bo".parse().unwrap(),
+            summary: "another operator's change".to_owned(),
+            document,
+        });
+    }
+}
+
+/// A served administration API over a fleet in memory.
+pub struct TestBench {
+    pub fleet: Arc<Mutex<FakeFleet>>,
+    pub server: AdminServer,
+    pub registry: Registry,
+    pub all_key: String,
+    pub keys_key: String,
+    pub read_key: String,
+}
+
+/// What the API answered.
+#[derive(Debug)]
+pub struct TestAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub text: String,
+}
+
+impl TestAnswer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap_or(Value::Null)
+    }
+}
+
+/// Returns the document that the bench starts with, without operators' keys.
+pub fn sound_document() -> ConfigurationDocument {
+    read_document("sound.yaml", SOUND).unwrap()
+}
+
+fn add_operator(document: &mut ConfigurationDocument, id: &str, role: OperatorRole) -> String {
+    let key = OperatorKey::issue(id.parse().unwrap(), secret_of(id));
+    let entry = OperatorEntry { role, digest: key.digest() };
+    document.operators.insert(key.id().clone(), entry);
+    key.expose().to_owned()
+}
+
+/// Returns a secret that differs for each name.
+fn secret_of(id: &str) -> [u8; 32] {
+    let mut secret = [0x5a; 32];
+    secret[..id.len()].copy_from_slice(id.as_bytes());
+    secret
+}
+
+impl TestBench {
+    /// Serves a fleet that holds the sound document and three operators.
+    pub fn start() -> Self {
+        let mut document = sound_document();
+        let all_key = add_operator(&mut document, "ana", OperatorRole::All);
+        let keys_key = add_operator(&mut document, "kim", OperatorRole::Keys);
+        let read_key = add_operator(&mut document, "rod", OperatorRole::Read);
+        let mut fleet = FakeFleet::default();
+        fleet.accept(&ProposedChange {
+            change: dotterellane_units::RequestId(0),
+            expected: ConfigVersion(0),
+            operator: "ana".parse().unwrap(),
+            summary: "first".to_owned(),
+            document,
+        });
+        let fleet = Arc::new(Mutex::new(fleet));
+        let ports = fleet_ports(&fleet);
+        let options = AdminOptions {
+            listen: "127.0.0.1:0".parse().unwrap(),
+            tls: None,
+            first_operator: None,
+        };
+        let registry = Registry::new();
+        let server = serve(options, ports, FleetOverview::default, registry.clone()).unwrap();
+        Self { fleet, server, registry, all_key, keys_key, read_key }
+    }
+
+    pub fn faults<F>(&self, change: F)
+    where
+        F: FnOnce(&mut FleetFaults),
+    {
+        change(&mut self.fleet.lock().unwrap().faults);
+    }
+
+    pub fn document(&self) -> ConfigurationDocument {
+        self.fleet.lock().unwrap().current().document
+    }
+
+    pub fn version(&self) -> u64 {
+        self.fleet.lock().unwrap().current().version.0
+    }
+
+    /// Sends a request with a key and further headers.
+    pub async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> TestAnswer {
+        send(self.server.local_addr(), method, path, headers, body).await
+    }
+
+    /// Sends a request as the operator who may do everything.
+    pub async fn send_all(&self, method: Method, path: &str, body: &str) -> TestAnswer {
+        let bearer = bearer(&self.all_key);
+        self.send(method, path, &[("authorization", &bearer)], body).await
+    }
+}
+
+pub fn bearer(key: &str) -> String {
+    format!("Bearer {key}")
+}
+
+/// Sends one request on a connection of its own.
+pub async fn send(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> TestAnswer {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let mut request = Request::builder().method(method).uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::from(body.to_owned()))).unwrap();
+    let answer = client.request(request).await.unwrap();
+    let (parts, body) = answer.into_parts();
+    let bytes = body.collect().await.unwrap().to_bytes();
+    let text = String::from_utf8(bytes.to_vec()).unwrap();
+    TestAnswer { status: parts.status, headers: parts.headers, text }
+}
+
+/// Returns the ports of a fleet in memory.
+pub fn fleet_ports(fleet: &Arc<Mutex<FakeFleet>>) -> AdministrationPorts {
+    let feed = ConfigurationFeed::new(fleet.lock().unwrap().current());
+    let (propose_fleet, progress_fleet) = (fleet.clone(), fleet.clone());
+    let (history_fleet, content_fleet) = (fleet.clone(), fleet.clone());
+    let propose_feed = feed.clone();
+    AdministrationPorts::new(
+        feed,
+        move |proposed| {
+            let mut fleet = propose_fleet.lock().unwrap();
+            let outcome = fleet.propose(&proposed);
+            propose_feed.follow(fleet.current());
+            std::future::ready(outcome)
+        },
+        move |version| {
+            let fleet = progress_fleet.lock().unwrap();
+            let outstanding: Vec<HostId> = fleet.faults.outstanding.iter().cloned().collect();
+            ChangeProgress { version, in_force: outstanding.is_empty(), outstanding }
+        },
+        move |limit| {
+            let fleet = history_fleet.lock().unwrap();
+            let records = fleet.versions.iter().rev().take(limit);
+            std::future::ready(Ok(records.map(|(record, _)| record.clone()).collect()))
+        },
+        move |version: ConfigVersion| {
+            let fleet = content_fleet.lock().unwrap();
+            let index = usize::try_from(version.0).unwrap().wrapping_sub(1);
+            let found = fleet.versions.get(index).map(|(record, document)| ConfigurationSnapshot {
+                version: record.version,
+                document: document.clone(),
+            });
+            std::future::ready(Ok(found))
+        },
+    )
+}
--- a/crates/settings/src/fault.rs
+++ b/crates/settings/src/fault.rs
@@ -74,6 +74,11 @@
         Self { name: name.to_owned(), faults, text: text.to_owned() }
     }
 
+    /// Gathers faults of a document that was not written as one text.
+    pub fn without_text(name: String, faults: Vec<DocumentFault>) -> Self {
+        Self { name, faults, text: String::new() }
+    }
+
     /// Returns a report that shows each fault in its line.
     pub fn report(&self) -> FaultReport {
         let spots = self.faults.iter().map(|fault| FaultSpot::new(fault, &self.text)).collect();
