--- /dev/null
+++ b/crates/decisions/src/membership.rs
@@ -0,0 +1,183 @@
+//! The member list: whose hearings and confirmations count, and how the list changes.
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use dotterellane_protocol::{LogPosition, MemberRecord, MemberSeat};
+use dotterellane_units::{ClockInstant, HostId};
+use serde::{Deserialize, Serialize};
+
+/// Most seats removed by one entry, so that the entry fits one datagram.
+pub const REMOVAL_BATCH: usize = 12;
+
+/// How long a host must be absent from the platform's list before it counts as gone.
+///
+/// Longer than the lag of the list.
+pub const ABSENCE_BOUND: Duration = Duration::from_secs(15);
+
+/// The members after one log entry, ordered by host; one seat a host.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct MemberList {
+    /// Entry that made the list.
+    pub made_at: LogPosition,
+    /// The members.
+    pub records: Vec<MemberRecord>,
+}
+
+impl MemberList {
+    /// Returns the list after the change that the entry at `position` makes.
+    ///
+    /// A member that joins takes the place of an earlier incarnation of its host.
+    #[must_use]
+    pub fn changed(
+        &self,
+        position: LogPosition,
+        joined: &[MemberRecord],
+        removed: &[MemberSeat],
+    ) -> Self {
+        let replaced = |record: &MemberRecord| {
+            removed.contains(&record.seat)
+                || joined.iter().any(|joining| joining.seat.host == record.seat.host)
+        };
+        let mut records: Vec<MemberRecord> =
+            self.records.iter().filter(|record| !replaced(record)).cloned().collect();
+        records.extend(joined.iter().cloned());
+        records.sort_by(|one, other| one.seat.cmp(&other.seat));
+        Self { made_at: position, records }
+    }
+
+    /// Returns the place of `seat` in the list.
+    pub fn index_of(&self, seat: &MemberSeat) -> Option<usize> {
+        self.records.binary_search_by(|record| record.seat.cmp(seat)).ok()
+    }
+
+    /// Returns the record of `host`.
+    pub fn find(&self, host: &HostId) -> Option<&MemberRecord> {
+        let index = self.records.binary_search_by(|record| record.seat.host.cmp(host)).ok()?;
+        self.records.get(index)
+    }
+
+    /// Tells whether the seats that `counts` accepts are a quorum: a strict majority, or half of
+    /// the list with the lowest host among them. Any two quorums of one list intersect.
+    pub fn is_quorum<C>(&self, counts: C) -> bool
+    where
+        C: Fn(&MemberSeat) -> bool,
+    {
+        let counted = self.records.iter().filter(|record| counts(&record.seat)).count();
+        let lowest = self.records.first().is_some_and(|record| counts(&record.seat));
+        match (2 * counted).cmp(&self.records.len()) {
+            Ordering::Greater => true,
+            Ordering::Equal => lowest,
+            Ordering::Less => false,
+        }
+    }
+
+    /// Tells whether every quorum holds a seat that `counts` accepts.
+    pub fn is_blocked<C>(&self, counts: C) -> bool
+    where
+        C: Fn(&MemberSeat) -> bool,
+    {
+        !self.is_quorum(|seat| !counts(seat))
+    }
+}
+
+/// Number of lists that are kept: the newest, and those that a fresh daemon may still use.
+pub const LISTS_KEPT: usize = 4;
+
+/// The newest member lists, oldest first.
+///
+/// The oldest one is dropped only once the list after it is in force; no daemon that is fresh
+/// uses it then.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct MemberLists(Vec<MemberList>);
+
+impl Default for MemberLists {
+    fn default() -> Self {
+        Self(vec![MemberList::default()])
+    }
+}
+
+impl MemberLists {
+    /// Returns the newest list.
+    ///
+    /// # Panics
+    /// Never panics: there is always a list.
+    pub fn current(&self) -> &MemberList {
+        self.0.last().expect("there is always a list")
+    }
+
+    /// Returns the lists after the change that the entry at `position` makes.
+    #[must_use]
+    pub fn changed(
+        &self,
+        position: LogPosition,
+        joined: &[MemberRecord],
+        removed: &[MemberSeat],
+    ) -> Self {
+        let dropped = (self.0.len() + 1).saturating_sub(LISTS_KEPT);
+        let mut lists = self.0[dropped..].to_vec();
+        lists.push(self.current().changed(position, joined, removed));
+        Self(lists)
+    }
+
+    /// Tells whether the list may change again, given the newest entry known to be in force.
+    pub fn may_change(&self, in_force: LogPosition) -> bool {
+        self.0.len() < LISTS_KEPT || self.0[1].made_at <= in_force
+    }
+
+    /// Returns the lists that a fresh daemon may use while `in_force` is the newest entry known
+    /// to be in force.
+    pub fn in_use(&self, in_force: LogPosition) -> &[MemberList] {
+        let settled = self.0.iter().rposition(|list| list.made_at <= in_force);
+        &self.0[settled.unwrap_or(0)..]
+    }
+
+    /// Returns the seats of all lists.
+    pub fn seats(&self) -> BTreeSet<&MemberSeat> {
+        self.0.iter().flat_map(|list| &list.records).map(|record| &record.seat).collect()
+    }
+}
+
+/// Which hosts the platform's lagging list has left out, and since when.
+#[derive(Clone, Debug, Default)]
+pub struct AbsenceRecord {
+    since: BTreeMap<HostId, ClockInstant>,
+}
+
+impl AbsenceRecord {
+    /// Takes in one answer of the platform's host list, asked for at `asked_at`.
+    pub fn observe(
+        &mut self,
+        lists: &MemberLists,
+        present: &BTreeSet<HostId>,
+        asked_at: ClockInstant,
+    ) {
+        let hosts = lists.seats().into_iter().map(|seat| &seat.host);
+        let absent: BTreeSet<&HostId> = hosts.filter(|host| !present.contains(host)).collect();
+        self.since.retain(|host, _| absent.contains(host));
+        for host in absent {
+            self.since.entry(host.clone()).or_insert(asked_at);
+        }
+    }
+
+    /// Returns the seats whose hosts were absent for longer than [`ABSENCE_BOUND`] by the answer
+    /// to a question asked at `asked_at`, and that were not `heard` for as long either.
+    pub fn gone<H>(
+        &self,
+        lists: &MemberLists,
+        asked_at: ClockInstant,
+        heard: H,
+    ) -> BTreeSet<MemberSeat>
+    where
+        H: Fn(&MemberSeat) -> Option<ClockInstant>,
+    {
+        let long = |since: ClockInstant| asked_at.since(since) > ABSENCE_BOUND;
+        let absent = |seat: &MemberSeat| self.since.get(&seat.host).copied().is_some_and(long);
+        let silent = |seat: &MemberSeat| heard(seat).is_none_or(long);
+        let seats = lists.seats().into_iter();
+        seats.filter(|seat| absent(seat) && silent(seat)).cloned().collect()
+    }
+}
