Add the operators' commands

Cause: everything an operator does had to be sent by hand. Change: config, key, team, model, status, top and check over the administration API, plain or TLS; faults and lost races are printed with their places, colours only on a terminal. The program takes the connection from options or the environment. Conclusion: what the API does can be done from a shell.

--- a/crates/dotterellane/src/cli.rs
+++ b/crates/dotterellane/src/cli.rs
@@ -1,8 +1,12 @@
 //! The command line. Doc comments are the help texts.
 
+pub mod operators;
+
 use clap::{Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 
+use crate::cli::operators::{ConnectionArguments, OperatorCommand};
+
 /// Serves rarely used models that many teams share
 #[derive(Debug)]
 #[derive(Parser)]
@@ -16,6 +20,10 @@
     #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
     pub log_format: LogFormat,
 
+    /// How the operators' commands reach the fleet
+    #[command(flatten)]
+    pub connection: ConnectionArguments,
+
     /// What to do
     #[command(subcommand)]
     pub command: Command,
@@ -34,6 +42,9 @@
         #[arg(long)]
         json: bool,
     },
+    /// The operators' commands
+    #[command(flatten)]
+    Operator(OperatorCommand),
     /// Print shell completions
     Completions {
         /// Shell that they are for
--- /dev/null
+++ b/crates/dotterellane/src/commands/check.rs
@@ -0,0 +1,68 @@
+//! Checks files without asking the fleet.
+
+use std::fs;
+use std::path::Path;
+
+use dotterellane_settings::daemon::read_settings;
+use dotterellane_settings::document::ConfigurationDocument;
+use dotterellane_settings::read_document;
+use miette::{IntoDiagnostic, Report, WrapErr};
+
+use crate::cli::operators::FileKind;
+use crate::exit_codes::ExitCode;
+
+/// Checks a file and prints every error with its line.
+pub fn run(file: &Path, kind: FileKind) -> miette::Result<ExitCode> {
+    match kind {
+        FileKind::Document => check_document(file),
+        FileKind::Daemon => check_daemon(file),
+    }
+}
+
+/// Reads a file.
+pub fn read_file(file: &Path) -> miette::Result<String> {
+    let text = fs::read_to_string(file).into_diagnostic();
+    text.wrap_err_with(|| format!("reading {}", file.display()))
+}
+
+/// Reads and checks a document; prints its faults if it has any.
+pub fn read_checked(file: &Path) -> miette::Result<Option<ConfigurationDocument>> {
+    let text = read_file(file)?;
+    match read_document(&file.display().to_string(), &text) {
+        Ok(document) => Ok(Some(document)),
+        Err(faults) => {
+            anstream::eprintln!("{:?}", Report::new(faults.report()));
+            Ok(None)
+        }
+    }
+}
+
+fn check_document(file: &Path) -> miette::Result<ExitCode> {
+    let Some(document) = read_checked(file)? else {
+        return Ok(ExitCode::InvalidInput);
+    };
+    println!(
+        "{}: {} teams, {} keys, {} models, {} adapters, {} services, {} upstreams",
+        file.display(),
+        document.teams.len(),
+        document.keys.len(),
+        document.models.len(),
+        document.adapters.len(),
+        document.services.len(),
+        document.upstreams.len(),
+    );
+    Ok(ExitCode::Success)
+}
+
+fn check_daemon(file: &Path) -> miette::Result<ExitCode> {
+    match read_settings(&file.display().to_string(), &read_file(file)?) {
+        Ok(settings) => {
+            println!("{}: settings of {}", file.display(), settings.host);
+            Ok(ExitCode::Success)
+        }
+        Err(error) => {
+            anstream::eprintln!("{:?}", Report::new(error));
+            Ok(ExitCode::InvalidInput)
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterellane/src/commands/tables.rs
@@ -0,0 +1,84 @@
+//! Tables and short texts for people.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use anstream::println;
+use anstyle::Style;
+
+const HEADING: Style = Style::new().bold();
+const GAP: &str = "  ";
+
+/// Rows of text under headings, in columns as wide as their widest cell.
+#[derive(Debug)]
+pub struct Table<const COLUMNS: usize> {
+    headings: [&'static str; COLUMNS],
+    rows: Vec<[String; COLUMNS]>,
+}
+
+impl<const COLUMNS: usize> Table<COLUMNS> {
+    /// Starts a table without rows.
+    pub fn new(headings: [&'static str; COLUMNS]) -> Self {
+        Self { headings, rows: Vec::new() }
+    }
+
+    /// Adds a row.
+    pub fn row(&mut self, cells: [String; COLUMNS]) {
+        self.rows.push(cells);
+    }
+
+    /// Prints the table to standard output.
+    pub fn print(&self) {
+        let lines = self.lines();
+        for (index, line) in lines.iter().enumerate() {
+            match index {
+                0 => println!("{HEADING}{line}{HEADING:#}"),
+                _ => println!("{line}"),
+            }
+        }
+    }
+
+    fn lines(&self) -> Vec<String> {
+        let headings = self.headings.map(str::to_owned);
+        let rows: Vec<&[String; COLUMNS]> = std::iter::once(&headings).chain(&self.rows).collect();
+        let width = |column: usize| rows.iter().map(|row| row[column].chars().count()).max();
+        let widths: Vec<usize> = (0..COLUMNS).map(|column| width(column).unwrap_or(0)).collect();
+        let padded = |row: &&[String; COLUMNS]| {
+            let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+            cells.collect::<Vec<_>>().join(GAP).trim_end().to_owned()
+        };
+        rows.iter().map(padded).collect()
+    }
+}
+
+/// Tells how far a time is from now, as `in 3 h` or `5 min`.
+pub fn age_text(epoch_seconds: u64) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs());
+    if epoch_seconds > now {
+        format!("in {}", span_text((epoch_seconds - now) as f64))
+    } else {
+        span_text((now - epoch_seconds) as f64)
+    }
+}
+
+/// Writes seconds in the largest unit that they fill.
+pub fn span_text(seconds: f64) -> String {
+    const UNITS: [(f64, &str); 3] = [(86_400.0, "d"), (3_600.0, "h"), (60.0, "min")];
+    match UNITS.iter().find(|(unit, _)| seconds >= *unit) {
+        Some((unit, name)) => format!("{:.0} {name}", (seconds / unit).floor()),
+        None => format!("{seconds:.0} s"),
+    }
+}
+
+/// Writes bytes in GiB.
+pub fn gibibytes_text(bytes: u64) -> String {
+    const GIBIBYTE: f64 = (1_u64 << 30) as f64;
+    format!("{:.1}", bytes as f64 / GIBIBYTE)
+}
+
+/// Draws a part of a whole as a bar of ten characters.
+pub fn bar_text(part: f64, whole: f64) -> String {
+    const BAR_CHARS: usize = 10;
+    let share = if whole > 0.0 { (part / whole).clamp(0.0, 1.0) } else { 0.0 };
+    let filled = (share * BAR_CHARS as f64).round() as usize;
+    format!("{}{}", "#".repeat(filled), ".".repeat(BAR_CHARS - filled))
+}
--- a/crates/dotterellane/src/lib.rs
+++ b/crates/dotterellane/src/lib.rs
@@ -1,6 +1,7 @@
 //! Serving system for rarely used models that many teams share.
 
 pub mod cli;
+pub mod commands;
 pub mod daemon;
 pub mod demo;
 pub mod exit_codes;
--- a/crates/dotterellane/src/main.rs
+++ b/crates/dotterellane/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{CommandFactory, Parser};
 use dotterellane::cli::{Arguments, Command};
 use dotterellane::exit_codes::ExitCode;
-use dotterellane::{demo, logging};
+use dotterellane::{commands, demo, logging};
 
 fn main() -> process::ExitCode {
     match run(&Arguments::parse()) {
@@ -21,6 +21,7 @@
     logging::start(arguments.log_level, arguments.log_format)?;
     match &arguments.command {
         Command::Demo { json } => demo::run(*json),
+        Command::Operator(command) => commands::execute(command, &arguments.connection),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(*shell, &mut command, "dotterellane", &mut std::io::stdout());
