--- a/crates/admin/src/endpoints/configuration.rs
+++ b/crates/admin/src/endpoints/configuration.rs
@@ -4,7 +4,7 @@
 
 use dotterellane_fleet::ConfigurationSnapshot;
 use dotterellane_settings::difference::{entry_differences, text_difference};
-use dotterellane_settings::document::OperatorRole;
+use dotterellane_settings::document::{ConfigurationDocument, OperatorRole};
 use dotterellane_settings::{read_document, write_document};
 use dotterellane_units::ConfigVersion;
 use dropshot::{
@@ -13,6 +13,7 @@
 };
 use http::Response;
 use http::header::{ETAG, HeaderValue};
+use serde_json::Value;
 
 use super::{Api, text_response};
 use crate::access::require_role;
@@ -20,7 +21,8 @@
 use crate::context::AdminContext;
 use crate::problem::ApiProblem;
 use crate::wire::{
-    ChangeAnswer, ChangeQuery, CheckAnswer, HistoryEntry, HistoryQuery, ProgressBody, VersionPath,
+    ChangeAnswer, ChangeQuery, CheckAnswer, DocumentFormat, DocumentQuery, HistoryEntry,
+    HistoryQuery, ProgressBody, VersionPath,
 };
 
 const DEFAULT_HISTORY: u32 = 50;
@@ -36,13 +38,15 @@
     api.register(version_restore)
 }
 
-/// Read the document as YAML; its version is the ETag
+/// Read the document; its version is the ETag
 #[endpoint { method = GET, path = "/v1/configuration" }]
 async fn configuration_get(
     request: RequestContext<Arc<AdminContext>>,
+    query: Query<DocumentQuery>,
 ) -> Result<Response<Body>, ApiProblem> {
     require_role(&request, OperatorRole::Read)?;
-    Ok(document_response(&request.context().current()))
+    let format = query.into_inner().format;
+    Ok(document_response(&request.context().current(), format))
 }
 
 /// Replace the document; If-Match names the version that it was made from
@@ -76,6 +80,8 @@
         Ok(document) => CheckAnswer {
             version,
             faults: Vec::new(),
+            document: write_document(&document),
+            plain: plain(&document),
             differences: entry_differences(&current.document, &document)
                 .into_iter()
                 .map(Into::into)
@@ -85,6 +91,8 @@
         Err(faults) => CheckAnswer {
             version,
             faults: faults.faults.into_iter().map(Into::into).collect(),
+            document: String::new(),
+            plain: Value::Null,
             differences: Vec::new(),
             diff: String::new(),
         },
@@ -113,7 +121,7 @@
 ) -> Result<Response<Body>, ApiProblem> {
     require_role(&request, OperatorRole::Read)?;
     let snapshot = kept_version(request.context(), path.into_inner()).await?;
-    Ok(document_response(&snapshot))
+    Ok(document_response(&snapshot, DocumentFormat::Yaml))
 }
 
 /// Tell how far a version has come into force
@@ -145,6 +153,10 @@
     Ok(HttpResponseOk(make_change(request.context(), order, edit).await?))
 }
 
+fn plain(document: &ConfigurationDocument) -> Value {
+    serde_json::to_value(document).expect("a document is plain data")
+}
+
 async fn kept_version(
     context: &AdminContext,
     path: VersionPath,
@@ -155,8 +167,12 @@
     content.ok_or_else(|| ApiProblem::not_found(format!("version {version} is not kept")))
 }
 
-fn document_response(snapshot: &ConfigurationSnapshot) -> Response<Body> {
-    let mut response = text_response("application/yaml", write_document(&snapshot.document));
+fn document_response(snapshot: &ConfigurationSnapshot, format: DocumentFormat) -> Response<Body> {
+    let document = &snapshot.document;
+    let mut response = match format {
+        DocumentFormat::Yaml => text_response("application/yaml", write_document(document)),
+        DocumentFormat::Json => text_response("application/json", plain(document).to_string()),
+    };
     let tag = format!("\"{}\"", snapshot.version);
     let tag = HeaderValue::from_str(&tag).expect("digits in quotes are a header value");
     response.headers_mut().insert(ETAG, tag);
--- a/crates/admin/src/wire.rs
+++ b/crates/admin/src/wire.rs
@@ -122,6 +122,10 @@
     pub version: u64,
     /// All faults; the document is sound if there is none.
     pub faults: Vec<FaultBody>,
+    /// The document in its usual form, as YAML; empty if it has faults.
+    pub document: String,
+    /// The document as JSON; null if it has faults.
+    pub plain: serde_json::Value,
     /// Entries that differ from that version.
     pub differences: Vec<DifferenceBody>,
     /// The same as a unified diff of the YAML.
@@ -261,6 +265,27 @@
     pub wait_seconds: Option<u32>,
 }
 
+/// Form in which the document is read.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum DocumentFormat {
+    /// As operators write it.
+    #[default]
+    Yaml,
+    /// For programs.
+    Json,
+}
+
+/// How the document is read.
+#[derive(Debug)]
+#[derive(Deserialize, JsonSchema)]
+pub struct DocumentQuery {
+    /// Form in which the document is read.
+    #[serde(default)]
+    pub format: DocumentFormat,
+}
+
 /// How much of history is shown.
 #[derive(Debug)]
 #[derive(Deserialize, JsonSchema)]
--- a/crates/admin/tests/support/mod.rs
+++ b/crates/admin/tests/support/mod.rs
@@ -151,7 +151,14 @@
 impl TestBench {
     /// Serves a fleet that holds the sound document and three operators.
     pub fn start() -> Self {
-        let mut document = sound_document();
+        Self::start_with(sound_document(), FleetOverview::default)
+    }
+
+    /// Serves a fleet that holds `document` and three operators more.
+    pub fn start_with<O>(mut document: ConfigurationDocument, overview: O) -> Self
+    where
+        O: Fn() -> FleetOverview + Send + Sync + 'static,
+    {
         let all_key = add_operator(&mut document, "ana", OperatorRole::All);
         let keys_key = add_operator(&mut document, "kim", OperatorRole::Keys);
         let read_key = add_operator(&mut document, "rod", OperatorRole::Read);
@@ -171,7 +178,7 @@
             first_operator: None,
         };
         let registry = Registry::new();
-        let server = serve(options, ports, FleetOverview::default, registry.clone()).unwrap();
+        let server = serve(options, ports, overview, registry.clone()).unwrap();
         Self { fleet, server, registry, all_key, keys_key, read_key }
     }
 
