Script faults of team shares: eighteen scenarios

Change: partial grants from a quarter of the burst on; such tokens are handed over with the next pledge; members and parts are worked out on change only.

--- a/crates/decisions/src/shares/admissions.rs
+++ b/crates/decisions/src/shares/admissions.rs
@@ -18,6 +18,7 @@
     updated: u64,
     peak: TokenCount,
     overshoot: TokenCount,
+    changes: Option<(u64, TeamEntry)>,
 }
 
 impl AdmissionMeter {
@@ -30,14 +31,17 @@
             updated: now,
             peak: TokenCount(0),
             overshoot: TokenCount(0),
+            changes: None,
         }
     }
 
-    /// Changes rate and burst.
-    pub fn set_rates(&mut self, rates: &TeamEntry, now: u64) {
+    /// Changes rate and burst: until `settled` the larger ones bound every window, then the new
+    /// ones bound every window that begins later.
+    pub fn set_rates(&mut self, rates: &TeamEntry, now: u64, settled: u64) {
         self.settle(now);
-        self.rate = rates.rate;
-        self.burst = rates.burst;
+        self.rate = self.rate.max(rates.rate);
+        self.burst = self.burst.max(rates.burst);
+        self.changes = Some((settled, rates.clone()));
     }
 
     /// Counts an admission.
@@ -58,6 +62,11 @@
     }
 
     fn settle(&mut self, now: u64) {
+        if let Some((settled, rates)) = self.changes.take_if(|(settled, _)| *settled <= now) {
+            (self.rate, self.burst) = (rates.rate, rates.burst);
+            self.excess = TokenLevel::default();
+            self.updated = settled;
+        }
         let yielded = TokenLevel::at_true_time(self.rate, now - self.updated);
         self.excess = self.excess.minus(yielded);
         self.updated = now;
@@ -81,8 +90,6 @@
     rates: Option<TeamEntry>,
     /// Requests sent.
     pub sent: u64,
-    /// Requests sent that one ideal bucket would have admitted at once.
-    pub in_rate: u64,
     /// Requests admitted.
     pub admitted: u64,
     /// Tokens admitted.
@@ -112,6 +119,13 @@
         Self { reference, rates: Some(rates.clone()), ..Self::default() }
     }
 
+    /// Changes rate and burst of the reference bucket.
+    pub fn set_rates(&mut self, rates: &TeamEntry, now: u64) {
+        if let Some(old) = self.rates.replace(rates.clone()) {
+            self.reference.settle(old.rate, old.burst, ClockInstant(now));
+        }
+    }
+
     /// Counts a request; tells whether it is inside the rate. With `shaped`, requests that are
     /// not are not counted.
     pub fn note_sent(&mut self, tokens: TokenCount, now: u64, shaped: bool) -> bool {
@@ -120,7 +134,6 @@
         let in_rate = tokens <= level;
         if in_rate {
             self.reference.take(tokens);
-            self.in_rate += 1;
         }
         self.sent += u64::from(in_rate || !shaped);
         in_rate
--- a/crates/decisions/src/shares/ledger.rs
+++ b/crates/decisions/src/shares/ledger.rs
@@ -18,6 +18,9 @@
 /// Yield of the pool that is worth a grant to a claim that cannot be met whole yet.
 const PARTIAL_GRANT_SPAN: Duration = Duration::from_millis(100);
 
+/// Part of the pooled burst that is always worth such a grant.
+const PARTIAL_GRANT_DIVISOR: u64 = 4;
+
 /// How long after its first pledge a ledger does not tell how long a wait will be.
 const GATHERING_SPAN: Duration = Duration::from_millis(500);
 
@@ -392,9 +395,11 @@
     /// Serves claims first come first served; returns the entries that got something.
     fn serve_claims(&mut self, now: ClockInstant) -> BTreeSet<SlotOwner> {
         let mut served = BTreeSet::new();
-        let worthwhile = self.rate().tokens_within(PARTIAL_GRANT_SPAN);
+        let part_of_burst = TokenCount(self.burst_after(now).0 / PARTIAL_GRANT_DIVISOR);
+        let yielded = self.rate().tokens_within(PARTIAL_GRANT_SPAN);
+        let worthwhile = yielded.min(part_of_burst).max(TokenCount(1));
         while let Some((entry, tokens)) = self.claims.front().cloned() {
-            if self.level.whole() < tokens.min(worthwhile.max(TokenCount(1))) {
+            if self.level.whole() < tokens.min(worthwhile) {
                 break;
             }
             let granted = self.grant(&entry, tokens, now);
--- a/crates/decisions/src/shares/machine.rs
+++ b/crates/decisions/src/shares/machine.rs
@@ -12,7 +12,7 @@
 use super::credit::EntryCredit;
 use super::ledger::{LedgerCounters, TeamLedger};
 use super::pledges::{LedgerAddress, MemberPledge};
-use super::slots::{OwnedSlots, SlotMap, SlotOwner};
+use super::slots::{OwnedSlots, SlotMap, SlotOwner, SlotProgress};
 use super::timings::ShareTimings;
 use super::waiting::{WaitEstimate, WaitingCharge, WaitingQueue};
 use crate::rendezvous::role_holder;
@@ -116,6 +116,9 @@
 
     /// Sets the members that roles are assigned to.
     pub fn set_members(&mut self, serving: Vec<HostId>) {
+        if serving == self.serving {
+            return;
+        }
         self.serving = serving;
         for (team, state) in &mut self.teams {
             state.holder = role_holder(LEDGER_ROLE, team.as_str(), &self.serving).cloned();
@@ -164,11 +167,14 @@
                 state.refuse_if(|_| true, &ShareRefusal::Unreachable, &mut actions);
             }
         }
-        if self.slots.advance(standing.slots_in_force, now) {
-            self.update_parts(now);
-            self.teams.values_mut().for_each(|state| state.member.fill());
+        match self.slots.advance(standing.slots_in_force, now) {
+            SlotProgress::None => {}
+            SlotProgress::Some => self.update_parts(now),
+            SlotProgress::First => {
+                self.update_parts(now);
+                self.teams.values_mut().for_each(|state| state.member.fill());
+            }
         }
-        self.update_parts(now);
         actions
     }
 
--- a/crates/decisions/src/shares/pledges.rs
+++ b/crates/decisions/src/shares/pledges.rs
@@ -29,6 +29,8 @@
 pub struct MemberPledge {
     timings: ShareTimings,
     part: SharePart,
+    /// Tokens of slots that nobody owned before, handed over with the next pledge.
+    unpledged: TokenCount,
     state: PledgeState,
 }
 
@@ -37,7 +39,8 @@
     pub fn new(timings: ShareTimings, now: ClockInstant) -> Self {
         let bucket = TokenBucket::new(TokenCount(0), now);
         let part = SharePart::default();
-        Self { timings, part, state: PledgeState::Alone { bucket, since: now } }
+        let unpledged = TokenCount(0);
+        Self { timings, part, unpledged, state: PledgeState::Alone { bucket, since: now } }
     }
 
     /// Changes the slots' rate and burst.
@@ -51,13 +54,15 @@
 
     /// Fills the bucket of slots that nobody has used before.
     pub fn fill(&mut self) {
-        if let PledgeState::Alone { bucket, .. } = &mut self.state {
-            bucket.add(self.part.burst, self.part.burst);
+        match &mut self.state {
+            PledgeState::Alone { bucket, .. } => bucket.add(self.part.burst, self.part.burst),
+            PledgeState::Bound { .. } => self.unpledged = self.part.burst,
         }
     }
 
     /// Forgets unspent tokens, since the slots may have moved unnoticed.
     pub fn forget(&mut self, now: ClockInstant) {
+        self.unpledged = TokenCount(0);
         if let PledgeState::Alone { bucket, .. } = &mut self.state {
             *bucket = TokenBucket::new(TokenCount(0), now);
         }
@@ -78,6 +83,7 @@
             PledgeState::Bound { until, .. } => {
                 if *until <= now {
                     self.state = alone(TokenCount(0), now);
+                    self.unpledged = TokenCount(0);
                 }
                 TokenCount(0)
             }
@@ -120,6 +126,7 @@
         let until = now + widened(self.timings.pledge_term);
         self.state = PledgeState::Bound { ledger: ledger.clone(), sent: request.sent, until };
         let SharePart { rate, burst } = self.part;
+        let level = level + std::mem::take(&mut self.unpledged).min(burst);
         Some(SharePledge { sent: request.sent, rate, burst, level })
     }
 
@@ -130,7 +137,8 @@
             && bound == ledger
             && *sent == release.sent
         {
-            self.state = alone(release.level.min(self.part.burst), now);
+            let level = release.level + std::mem::take(&mut self.unpledged);
+            self.state = alone(level.min(self.part.burst), now);
         }
     }
 
--- a/crates/decisions/src/shares/slots.rs
+++ b/crates/decisions/src/shares/slots.rs
@@ -153,6 +153,17 @@
     }
 }
 
+/// What became of gained slots.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SlotProgress {
+    /// Nothing.
+    None,
+    /// Some came into use.
+    Some,
+    /// Some came into use that nobody ever owned.
+    First,
+}
+
 /// The slots that one daemon may use.
 #[derive(Clone, Debug)]
 pub struct OwnedSlots {
@@ -160,6 +171,7 @@
     timings: ShareTimings,
     change: u64,
     slots: Vec<SlotUse>,
+    awaited: bool,
     usable: Vec<(u16, u16)>,
 }
 
@@ -167,7 +179,7 @@
     /// Starts without a slot.
     pub fn new(owner: SlotOwner, timings: ShareTimings) -> Self {
         let slots = vec![SlotUse::Foreign; usize::from(SLOT_COUNT)];
-        Self { owner, timings, change: 0, slots, usable: Vec::new() }
+        Self { owner, timings, change: 0, slots, awaited: false, usable: Vec::new() }
     }
 
     /// Follows a map read at `version`; lost slots are given up at once, gained ones are used when
@@ -190,9 +202,11 @@
         self.list_usable();
     }
 
-    /// Takes gained slots into use whose version is in force and whose old pledges have ended;
-    /// tells whether slots that nobody ever owned came into use.
-    pub fn advance(&mut self, in_force: RowVersion, now: ClockInstant) -> bool {
+    /// Takes gained slots into use whose version is in force and whose old pledges have ended.
+    pub fn advance(&mut self, in_force: RowVersion, now: ClockInstant) -> SlotProgress {
+        if !self.awaited {
+            return SlotProgress::None;
+        }
         let (mut changed, mut first) = (false, false);
         let ended = now + widened(self.timings.pledge_term);
         for slot in &mut self.slots {
@@ -211,13 +225,19 @@
             changed |= next != *slot;
             *slot = next;
         }
-        if changed {
-            self.list_usable();
+        match (changed, first) {
+            (false, _) => SlotProgress::None,
+            (true, first) => {
+                self.list_usable();
+                if first { SlotProgress::First } else { SlotProgress::Some }
+            }
         }
-        first
     }
 
     fn list_usable(&mut self) {
+        let awaited =
+            |slot: &SlotUse| matches!(slot, SlotUse::Gained { .. } | SlotUse::Waiting { .. });
+        self.awaited = self.slots.iter().any(awaited);
         self.usable.clear();
         for (place, slot) in (0u16..).zip(&self.slots) {
             if !matches!(slot, SlotUse::Usable { .. }) {
