--- a/crates/decisions/src/shares/admissions.rs
+++ b/crates/decisions/src/shares/admissions.rs
@@ -72,6 +72,12 @@
         self.updated = now;
     }
 
+    /// Returns rate and burst that bind now.
+    pub fn limits(&mut self, now: u64) -> TeamEntry {
+        self.settle(now);
+        TeamEntry { rate: self.rate, burst: self.burst }
+    }
+
     /// Returns the largest excess so far.
     pub fn peak(&self) -> TokenCount {
         self.peak
--- a/crates/decisions/src/shares/fleet_model.rs
+++ b/crates/decisions/src/shares/fleet_model.rs
@@ -32,6 +32,9 @@
 const UNLISTING_SPAN: Duration = Duration::from_secs(15);
 const DEFAULT_LATENCY: Duration = Duration::from_micros(500);
 
+/// True time at which a model starts, in nanoseconds.
+const START: u64 = 1_000_000_000_000;
+
 /// How teams are held to their rates.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SharePolicy {
@@ -121,6 +124,7 @@
 /// A request that was sent.
 #[derive(Clone, Debug)]
 struct SentRequest {
+    host: HostId,
     team: TeamId,
     tokens: TokenCount,
     sent: u64,
@@ -154,6 +158,7 @@
     /// What the network does from now on.
     pub network: NetworkFaults,
     messages: BTreeMap<HostId, (u64, u64)>,
+    violation: Option<String>,
     message_size: fn(&ShareMessage) -> usize,
 }
 
@@ -163,7 +168,7 @@
         let mut model = Self {
             policy,
             timings,
-            now: 1_000_000_000_000,
+            now: START,
             random: Pcg64Mcg::seed_from_u64(seed),
             events: BTreeMap::new(),
             next_event: 0,
@@ -183,6 +188,7 @@
             tallies: BTreeMap::new(),
             network: NetworkFaults::default(),
             messages: BTreeMap::new(),
+            violation: None,
             message_size: |_| 0,
         };
         model.schedule(Duration::ZERO, ModelEvent::Gossip);
@@ -218,6 +224,7 @@
 
     /// Starts a daemon on `host`, or a new one in the place of the old one.
     pub fn start(&mut self, host: &HostId) {
+        self.requests.retain(|_, sent| sent.host != *host);
         let before = self.hosts.get(host).map_or(0, |old| old.owner.incarnation.0);
         let owner = SlotOwner { host: host.clone(), incarnation: HostIncarnation(before + 1) };
         let mut machine = ShareMachine::new(owner.clone(), self.timings);
@@ -252,6 +259,8 @@
     /// Kills the daemon on `host`.
     pub fn kill(&mut self, host: &HostId) {
         let now = self.now;
+        // Its callers' connections break.
+        self.requests.retain(|_, sent| sent.host != *host);
         if let Some(host) = self.hosts.get_mut(host) {
             host.state = HostState::Dead;
             host.died = Some(now);
@@ -260,7 +269,9 @@
 
     /// Stops the daemon on `host` between two steps; its clock runs on.
     pub fn pause(&mut self, host: &HostId) {
-        if let Some(host) = self.hosts.get_mut(host) {
+        if let Some(host) = self.hosts.get_mut(host)
+            && host.state == HostState::Running
+        {
             host.state = HostState::Paused;
         }
     }
@@ -268,12 +279,20 @@
     /// Lets a paused daemon go on, first of all with the messages that came meanwhile.
     pub fn resume(&mut self, host: &HostId) {
         let Some(paused) = self.hosts.get_mut(host) else { return };
+        if paused.state != HostState::Paused {
+            return;
+        }
         paused.state = HostState::Running;
         for (from, message) in std::mem::take(&mut paused.held) {
             self.deliver(&from, host, &message);
         }
     }
 
+    /// Tells whether the daemon on `host` runs.
+    pub fn is_running(&self, host: &HostId) -> bool {
+        self.hosts.get(host).is_some_and(|host| host.state == HostState::Running)
+    }
+
     /// Puts `host` into a part of the network that reaches only its like.
     pub fn set_group(&mut self, host: &HostId, group: u32, reaches_table: bool) {
         if let Some(host) = self.hosts.get_mut(host) {
@@ -367,6 +386,36 @@
         live.map(|host| (host.owner.host.clone(), host.machine.usable_slots())).collect()
     }
 
+    /// Returns the first moment at which the hosts together held more than a team's burst, or
+    /// added tokens faster than its rate.
+    pub fn violation(&self) -> Option<&str> {
+        self.violation.as_deref()
+    }
+
+    fn check_holdings(&mut self) {
+        let now = self.now;
+        for (team, meter) in &mut self.meters {
+            let limits = meter.limits(now);
+            let (mut tokens, mut rate) = (TokenCount(0), 0);
+            for host in self.hosts.values().filter(|host| host.state != HostState::Dead) {
+                let held =
+                    host.machine.holdings(team, host.is_fresh(&self.listed, now), host.clock(now));
+                tokens += held.tokens;
+                rate += held.rate;
+            }
+            if self.violation.is_none()
+                && (tokens > limits.burst || rate > limits.rate.milli_tokens())
+            {
+                let at = Duration::from_nanos(now - START);
+                self.violation = Some(format!(
+                    "{at:?}: {team} has {tokens} tokens of {} and adds {rate} of {} thousandths",
+                    limits.burst,
+                    limits.rate.milli_tokens()
+                ));
+            }
+        }
+    }
+
     fn schedule(&mut self, after: Duration, event: ModelEvent) {
         self.next_event += 1;
         self.events.insert((self.now + nanos(after), self.next_event), event);
@@ -593,7 +642,14 @@
     ) -> RequestId {
         self.next_request += 1;
         let request = RequestId(self.next_request);
-        let sent = SentRequest { team: team.clone(), tokens, sent: self.now, in_rate, unused };
+        let sent = SentRequest {
+            host: host.clone(),
+            team: team.clone(),
+            tokens,
+            sent: self.now,
+            in_rate,
+            unused,
+        };
         self.requests.insert(request, sent);
         let deadline = ClockInstant(self.now) + patience;
         match self.policy {
@@ -645,6 +701,9 @@
     }
 
     fn gossip(&mut self) {
+        if self.policy == SharePolicy::Ledgers {
+            self.check_holdings();
+        }
         self.read_table();
         let states: Vec<(SlotOwner, u32, RowVersion, Rc<SlotMap>)> = self
             .hosts
--- a/crates/decisions/src/shares/ledger.rs
+++ b/crates/decisions/src/shares/ledger.rs
@@ -139,9 +139,10 @@
         self.counters
     }
 
-    /// Tells whether the ledger counts no pledge and no credit.
-    pub fn is_idle(&self) -> bool {
-        self.pledges.is_empty() && self.unspent() == TokenCount(0)
+    /// Returns level and rate of the pool.
+    pub fn pooled(&mut self, now: ClockInstant) -> (TokenCount, TokenRate) {
+        self.settle(now);
+        (self.level.whole(), self.rate())
     }
 
     /// Counts a pledge from when its request was sent.
@@ -431,6 +432,7 @@
         let granted = |entry: SlotOwner| {
             let account = self.accounts.get(&entry)?;
             let grant = CreditGrant {
+                entry: entry.incarnation,
                 session: account.session,
                 sent: account.newest,
                 extends: account.extended,
--- a/crates/decisions/src/shares/machine.rs
+++ b/crates/decisions/src/shares/machine.rs
@@ -79,6 +79,15 @@
     Unreachable,
 }
 
+/// What one daemon holds of a team's share.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ShareHoldings {
+    /// Tokens that it could spend or grant.
+    pub tokens: TokenCount,
+    /// Rate at which it adds tokens, in thousandths of a token a second.
+    pub rate: u64,
+}
+
 #[derive(Debug)]
 struct TeamState {
     rates: Option<TeamEntry>,
@@ -285,6 +294,24 @@
         ledgers.map(TeamLedger::counters).fold(LedgerCounters::default(), LedgerCounters::plus)
     }
 
+    /// Returns what this daemon holds of a team's share now, if it is as `fresh` as told.
+    pub fn holdings(&self, team: &TeamId, fresh: bool, now: ClockInstant) -> ShareHoldings {
+        let Some(state) = self.teams.get(team) else { return ShareHoldings::default() };
+        let mut holdings = ShareHoldings { tokens: state.credit.clone().settle(now), rate: 0 };
+        let mut member = state.member.clone();
+        let spendable = member.settle(now);
+        if member.ledger().is_none() && fresh {
+            holdings.tokens += spendable;
+            holdings.rate += member.part().rate.milli_tokens();
+        }
+        if let Some(ledger) = &state.ledger {
+            let (level, rate) = ledger.clone().pooled(now);
+            holdings.tokens += level;
+            holdings.rate += rate.milli_tokens();
+        }
+        holdings
+    }
+
     /// Returns the number of slots in use.
     pub fn usable_slots(&self) -> usize {
         self.slots.usable_count()
@@ -346,7 +373,8 @@
                 }
             }
             ShareContent::Grant(grant) => {
-                if state.credit.accept(&address, grant, now) {
+                let mine = grant.entry == self.me.incarnation;
+                if mine && state.credit.accept(&address, grant, now) {
                     state.serve(team, now, actions);
                     state.judge_by(grant, now, actions);
                 }
--- a/crates/decisions/tests/share_scenarios.rs
+++ b/crates/decisions/tests/share_scenarios.rs
@@ -131,6 +131,9 @@
     }
 
     fn check_bound(&self) -> StepResult<()> {
+        if let Some(violation) = self.fleet.violation() {
+            return Err(violation.to_owned().into());
+        }
         match self.fleet.overshoot() {
             TokenCount(0) => Ok(()),
             tokens => {
@@ -232,6 +235,7 @@
 scenarios! {
     shares_clocks_drift = "clocks_drift";
     shares_entry_pauses = "entry_pauses";
+    shares_entry_restarts = "entry_restarts";
     shares_even_partition_without_table = "even_partition_without_table";
     shares_hosts_added = "hosts_added";
     shares_hosts_replaced = "hosts_replaced";
--- a/crates/protocol/src/shares.rs
+++ b/crates/protocol/src/shares.rs
@@ -4,7 +4,7 @@
 //! out of order changes nothing. Instants are readings of the clock of the host that put them in;
 //! the other host only repeats them.
 
-use dotterellane_units::{ClockInstant, TeamId, TokenCount, TokenRate};
+use dotterellane_units::{ClockInstant, HostIncarnation, TeamId, TokenCount, TokenRate};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -99,6 +99,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct CreditGrant {
+    /// Incarnation of the entry; another one at the same host must not spend the credit.
+    pub entry: HostIncarnation,
     /// Number of the credit session.
     pub session: u64,
     /// The instant of the newest report that the ledger has seen.
