--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,9 @@
+//! Load, policy, slope and fault experiments.
+
+pub mod cli;
+pub mod load;
+pub mod output;
+pub mod regression;
+pub mod slopes;
+pub mod target;
+pub mod trace;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,5 +4,8 @@
 //! daemons and the scenarios run the same code.
 
 pub mod fairness;
+pub mod freshness;
+pub mod membership;
 pub mod rendezvous;
+pub mod rounds;
 pub mod shares;
