Number slot maps by their change, and commit them through the log

Change: a slot map's number is that of its change; the daemon's standing names the newest change known and in force; a daemon that knows of a change without its map pledges and spends nothing of its own; members are named by MemberSeat. The model's clocks start far enough from zero to be set back. Conclusion: wiring needs the newest slot change followed and in force.

--- a/crates/decisions/src/shares/fleet_model.rs
+++ b/crates/decisions/src/shares/fleet_model.rs
@@ -9,18 +9,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dotterellane_protocol::ShareMessage;
+use dotterellane_protocol::{MemberSeat, ShareMessage};
 use dotterellane_settings::document::TeamEntry;
-use dotterellane_units::{
-    ClockInstant, HostId, HostIncarnation, RequestId, RowVersion, TeamId, TokenCount,
-};
+use dotterellane_units::{ClockInstant, HostId, HostIncarnation, RequestId, TeamId, TokenCount};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use super::admissions::{AdmissionMeter, TeamTally};
 use super::baselines::{CentralBucket, HostBucket};
 use super::timings::widened;
-use super::{ShareAction, ShareMachine, ShareStanding, ShareTimings, SlotMap, SlotOwner};
+use super::{ShareAction, ShareMachine, ShareStanding, ShareTimings, SlotMap};
 
 /// How long evidence keeps a host fresh.
 pub const FRESHNESS_SPAN: Duration = Duration::from_secs(3);
@@ -96,7 +94,7 @@
 
 #[derive(Debug)]
 struct ModelHost {
-    owner: SlotOwner,
+    owner: MemberSeat,
     machine: ShareMachine,
     bucket: HostBucket,
     state: HostState,
@@ -105,20 +103,19 @@
     drift_ppm: i64,
     origin: u64,
     died: Option<u64>,
-    heard: BTreeMap<SlotOwner, u64>,
+    heard: BTreeMap<MemberSeat, u64>,
     table_read: Option<u64>,
-    known: RowVersion,
     map: Rc<SlotMap>,
-    held: Vec<(SlotOwner, ShareMessage)>,
+    held: Vec<(MemberSeat, ShareMessage)>,
 }
 
 #[derive(Debug)]
 enum ModelEvent {
-    Deliver { from: SlotOwner, from_group: u32, to: HostId, message: ShareMessage },
+    Deliver { from: MemberSeat, from_group: u32, to: HostId, message: ShareMessage },
     Tick(HostId),
     Gossip,
     Arrival(usize),
-    Refund { host: SlotOwner, team: TeamId, tokens: TokenCount },
+    Refund { host: MemberSeat, team: TeamId, tokens: TokenCount },
 }
 
 /// A request that was sent.
@@ -142,12 +139,12 @@
     events: BTreeMap<(u64, u64), ModelEvent>,
     next_event: u64,
     hosts: BTreeMap<HostId, ModelHost>,
-    listed: BTreeSet<SlotOwner>,
+    listed: BTreeSet<MemberSeat>,
     listed_changed: u64,
     teams: BTreeMap<TeamId, TeamEntry>,
     table_up: bool,
-    row: (RowVersion, Rc<SlotMap>),
-    confirmed_by_majority: BTreeMap<RowVersion, u64>,
+    row: Rc<SlotMap>,
+    confirmed_by_majority: BTreeMap<u64, u64>,
     moves_wanted: Option<u64>,
     central: CentralBucket,
     loads: Vec<Option<LoadSource>>,
@@ -177,7 +174,7 @@
             listed_changed: 0,
             teams: BTreeMap::new(),
             table_up: true,
-            row: (RowVersion(0), Rc::default()),
+            row: Rc::default(),
             confirmed_by_majority: BTreeMap::new(),
             moves_wanted: None,
             central: CentralBucket::default(),
@@ -226,12 +223,12 @@
     pub fn start(&mut self, host: &HostId) {
         self.requests.retain(|_, sent| sent.host != *host);
         let before = self.hosts.get(host).map_or(0, |old| old.owner.incarnation.0);
-        let owner = SlotOwner { host: host.clone(), incarnation: HostIncarnation(before + 1) };
+        let owner = MemberSeat { host: host.clone(), incarnation: HostIncarnation(before + 1) };
         let mut machine = ShareMachine::new(owner.clone(), self.timings);
         let mut started = ModelHost {
             owner,
             machine: ShareMachine::new(
-                SlotOwner { host: host.clone(), incarnation: HostIncarnation(0) },
+                MemberSeat { host: host.clone(), incarnation: HostIncarnation(0) },
                 self.timings,
             ),
             bucket: HostBucket::default(),
@@ -239,11 +236,10 @@
             group: 0,
             reaches_table: true,
             drift_ppm: self.hosts.get(host).map_or(0, |old| old.drift_ppm),
-            origin: self.random.random_range(0..1_000_000_000),
+            origin: self.random.random_range(100_000_000_000..200_000_000_000),
             died: None,
             heard: BTreeMap::new(),
             table_read: None,
-            known: RowVersion(0),
             map: Rc::default(),
             held: Vec::new(),
         };
@@ -442,7 +438,7 @@
         }
     }
 
-    fn deliver(&mut self, from: &SlotOwner, to: &HostId, message: &ShareMessage) {
+    fn deliver(&mut self, from: &MemberSeat, to: &HostId, message: &ShareMessage) {
         let Some(host) = self.hosts.get_mut(to) else { return };
         match host.state {
             HostState::Dead => {}
@@ -490,14 +486,15 @@
         let Some(host) = self.hosts.get_mut(host) else { return };
         let clock = host.clock(now);
         let fresh = host.is_fresh(&self.listed, now);
-        let standing = ShareStanding { fresh, slots_in_force: in_force };
+        let standing =
+            ShareStanding { fresh, slots_known: host.map.change, slots_in_force: in_force };
         let mut actions = host.machine.set_standing(standing, clock);
         actions.extend(step(&mut host.machine, clock));
         let owner = host.owner.clone();
         self.act(&owner, actions);
     }
 
-    fn act(&mut self, owner: &SlotOwner, actions: Vec<ShareAction>) {
+    fn act(&mut self, owner: &MemberSeat, actions: Vec<ShareAction>) {
         for action in actions {
             match action {
                 ShareAction::Send { to, message } => self.send(owner, to, message),
@@ -516,7 +513,7 @@
         }
     }
 
-    fn admit(&mut self, owner: &SlotOwner, request: RequestId, team: &TeamId, tokens: TokenCount) {
+    fn admit(&mut self, owner: &MemberSeat, request: RequestId, team: &TeamId, tokens: TokenCount) {
         let sent = self.requests.remove(&request);
         if let Some(meter) = self.meters.get_mut(team) {
             meter.admit(tokens, self.now);
@@ -534,7 +531,7 @@
         }
     }
 
-    fn refund(&mut self, owner: &SlotOwner, team: &TeamId, tokens: TokenCount) {
+    fn refund(&mut self, owner: &MemberSeat, team: &TeamId, tokens: TokenCount) {
         let Some(host) = self.hosts.get_mut(&owner.host) else { return };
         if host.owner != *owner || host.state != HostState::Running {
             return;
@@ -559,7 +556,7 @@
         }
     }
 
-    fn send(&mut self, from: &SlotOwner, to: HostId, message: ShareMessage) {
+    fn send(&mut self, from: &MemberSeat, to: HostId, message: ShareMessage) {
         let Some(sender) = self.hosts.get(&from.host) else { return };
         let from_group = sender.group;
         let sent = self.messages.entry(from.host.clone()).or_default();
@@ -670,7 +667,7 @@
             SharePolicy::CentralBucket => {
                 let charge = (request, tokens, deadline.0);
                 let actions = self.central.charge(team, charge, self.table_up, self.now);
-                let owner = SlotOwner { host: host.clone(), incarnation: HostIncarnation(1) };
+                let owner = MemberSeat { host: host.clone(), incarnation: HostIncarnation(1) };
                 self.act(&owner, actions);
             }
         }
@@ -682,21 +679,21 @@
         self.requests.contains_key(&request)
     }
 
-    fn in_force(&self) -> RowVersion {
+    fn in_force(&self) -> u64 {
         let old = |at: &u64| self.now - at >= nanos(FRESHNESS_SPAN) + nanos(FRESHNESS_SPAN) / 100;
-        let mut in_force = RowVersion(0);
-        for (version, at) in &self.confirmed_by_majority {
-            if old(at) || self.confirmed_by_all(*version) {
-                in_force = *version;
+        let mut in_force = 0;
+        for (change, at) in &self.confirmed_by_majority {
+            if old(at) || self.confirmed_by_all(*change) {
+                in_force = *change;
             }
         }
         in_force
     }
 
-    fn confirmed_by_all(&self, version: RowVersion) -> bool {
+    fn confirmed_by_all(&self, change: u64) -> bool {
         self.listed.iter().all(|owner| {
             let host = self.hosts.get(&owner.host);
-            host.is_some_and(|host| host.owner == *owner && host.known >= version)
+            host.is_some_and(|host| host.owner == *owner && host.map.change >= change)
         })
     }
 
@@ -705,18 +702,18 @@
             self.check_holdings();
         }
         self.read_table();
-        let states: Vec<(SlotOwner, u32, RowVersion, Rc<SlotMap>)> = self
+        let states: Vec<(MemberSeat, u32, Rc<SlotMap>)> = self
             .hosts
             .values()
             .filter(|host| host.state == HostState::Running)
-            .map(|host| (host.owner.clone(), host.group, host.known, host.map.clone()))
+            .map(|host| (host.owner.clone(), host.group, host.map.clone()))
             .collect();
         let now = self.now;
         for host in self.hosts.values_mut().filter(|host| host.state == HostState::Running) {
-            for (owner, group, known, map) in &states {
+            for (owner, group, map) in &states {
                 if *group == host.group {
                     host.heard.insert(owner.clone(), now);
-                    host.learn(*known, map, now);
+                    host.learn(map, now);
                 }
             }
             host.see_members(now);
@@ -728,25 +725,25 @@
 
     fn read_table(&mut self) {
         let (now, up) = (self.now, self.table_up);
-        let (version, map) = self.row.clone();
+        let map = self.row.clone();
         let readers = self
             .hosts
             .values_mut()
             .filter(|host| up && host.reaches_table && host.state == HostState::Running);
         for host in readers {
             host.table_read = Some(now);
-            host.learn(version, &map, now);
+            host.learn(&map, now);
         }
     }
 
     fn count_confirmations(&mut self) {
-        let (version, _) = self.row;
+        let change = self.row.change;
         let confirmed = self.listed.iter().filter(|owner| {
             let host = self.hosts.get(&owner.host);
-            host.is_some_and(|host| host.owner == **owner && host.known >= version)
+            host.is_some_and(|host| host.owner == **owner && host.map.change >= change)
         });
-        if version > RowVersion(0) && confirmed.count() * 2 > self.listed.len() {
-            self.confirmed_by_majority.entry(version).or_insert(self.now);
+        if change > 0 && confirmed.count() * 2 > self.listed.len() {
+            self.confirmed_by_majority.entry(change).or_insert(self.now);
         }
     }
 
@@ -756,7 +753,8 @@
         if !self.table_up || (!self.listed.is_empty() && !settled) {
             return;
         }
-        let current = |owner: &SlotOwner| self.hosts.get(&owner.host).filter(|h| h.owner == *owner);
+        let current =
+            |owner: &MemberSeat| self.hosts.get(&owner.host).filter(|h| h.owner == *owner);
         let long = nanos(UNLISTING_SPAN);
         let gone = self.listed.iter().find(|owner| {
             current(owner).is_none_or(|host| host.died.is_some_and(|at| self.now - at >= long))
@@ -779,7 +777,7 @@
     }
 
     fn move_slots(&mut self) {
-        let members: Vec<SlotOwner> = self
+        let members: Vec<MemberSeat> = self
             .listed
             .iter()
             .filter(|owner| {
@@ -789,7 +787,7 @@
             })
             .cloned()
             .collect();
-        let wanted = self.row.1.rebalanced(&members).filter(|_| self.table_up);
+        let wanted = self.row.rebalanced(&members).filter(|_| self.table_up);
         let Some(map) = wanted else {
             self.moves_wanted = None;
             return;
@@ -799,7 +797,7 @@
             return;
         }
         self.moves_wanted = None;
-        self.row = (self.row.0.next(), Rc::new(map));
+        self.row = Rc::new(map);
     }
 }
 
@@ -810,19 +808,17 @@
         ClockInstant(u64::try_from(reading).unwrap_or(0))
     }
 
-    fn is_fresh(&self, listed: &BTreeSet<SlotOwner>, now: u64) -> bool {
+    fn is_fresh(&self, listed: &BTreeSet<MemberSeat>, now: u64) -> bool {
         let recent = |at: &u64| now - at < nanos(FRESHNESS_SPAN);
         let heard = listed.iter().filter(|owner| self.heard.get(owner).is_some_and(recent));
         self.table_read.as_ref().is_some_and(recent) || heard.count() * 2 > listed.len()
     }
 
-    fn learn(&mut self, version: RowVersion, map: &Rc<SlotMap>, now: u64) {
-        if version > self.known {
-            let map = map.clone();
-            self.known = version;
+    fn learn(&mut self, map: &Rc<SlotMap>, now: u64) {
+        if map.change > self.map.change {
+            self.map = map.clone();
             let now = self.clock(now);
-            self.machine.set_slots(&map, version, now);
-            self.map = map;
+            self.machine.set_slots(map, now);
         }
     }
 
--- a/crates/decisions/src/shares/ledger.rs
+++ b/crates/decisions/src/shares/ledger.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use dotterellane_protocol::MemberSeat;
 use dotterellane_protocol::shares::{
     CreditGrant, CreditReport, LedgerEpoch, PledgeRelease, PledgeRequest, ShareContent, SharePledge,
 };
 use dotterellane_units::{ClockInstant, HostId, TokenCount, TokenRate};
 
 use super::bucket::TokenLevel;
-use super::slots::{SharePart, SlotOwner};
+use super::slots::SharePart;
 use super::timings::{ShareTimings, widened};
 
 /// Shortest time between two recalls to one entry.
@@ -95,10 +96,10 @@
     epoch: LedgerEpoch,
     level: TokenLevel,
     updated: ClockInstant,
-    pledges: BTreeMap<SlotOwner, CountedPledge>,
-    accounts: BTreeMap<SlotOwner, CreditAccount>,
+    pledges: BTreeMap<MemberSeat, CountedPledge>,
+    accounts: BTreeMap<MemberSeat, CreditAccount>,
     lingering: Vec<LingeringCredit>,
-    claims: VecDeque<(SlotOwner, TokenCount)>,
+    claims: VecDeque<(MemberSeat, TokenCount)>,
     requested: Option<ClockInstant>,
     released: BTreeMap<HostId, ClockInstant>,
     releasing: bool,
@@ -146,7 +147,7 @@
     }
 
     /// Counts a pledge from when its request was sent.
-    pub fn count_pledge(&mut self, member: SlotOwner, pledge: &SharePledge, now: ClockInstant) {
+    pub fn count_pledge(&mut self, member: MemberSeat, pledge: &SharePledge, now: ClockInstant) {
         self.settle(now);
         let ends = pledge.sent + self.timings.pledge_term;
         let released = self.released.get(&member.host);
@@ -164,7 +165,7 @@
     /// Takes an entry's report; the answers go to every entry that it concerns.
     pub fn take_report(
         &mut self,
-        entry: SlotOwner,
+        entry: MemberSeat,
         report: &CreditReport,
         now: ClockInstant,
     ) -> Vec<LedgerMessage> {
@@ -290,7 +291,7 @@
 
     fn open_session(
         &mut self,
-        entry: &SlotOwner,
+        entry: &MemberSeat,
         report: &CreditReport,
         now: ClockInstant,
     ) -> bool {
@@ -313,7 +314,7 @@
         true
     }
 
-    fn apply_counters(&mut self, entry: &SlotOwner, report: &CreditReport, now: ClockInstant) {
+    fn apply_counters(&mut self, entry: &MemberSeat, report: &CreditReport, now: ClockInstant) {
         let Some(account) = self.accounts.get_mut(entry) else { return };
         let returned = report.returned - account.returned;
         let refunded = report.refunded - account.refunded;
@@ -325,7 +326,7 @@
     }
 
     /// Queues what the entry needs beyond what is granted and queued already.
-    fn place_claim(&mut self, entry: &SlotOwner, report: &CreditReport) {
+    fn place_claim(&mut self, entry: &MemberSeat, report: &CreditReport) {
         let granted = self.accounts.get(entry).map_or(TokenCount(0), |account| account.granted);
         let need = report.need - (granted - report.granted);
         let queued: TokenCount = self.claimed_by(entry);
@@ -343,7 +344,7 @@
         self.claims.retain(|(_, tokens)| *tokens > TokenCount(0));
     }
 
-    fn claimed_by(&self, entry: &SlotOwner) -> TokenCount {
+    fn claimed_by(&self, entry: &MemberSeat) -> TokenCount {
         let claims = self.claims.iter().filter(|(claimant, _)| claimant == entry);
         claims.map(|(_, tokens)| *tokens).sum()
     }
@@ -352,7 +353,7 @@
     ///
     /// Credit must have ended before the slots that it came from are spent elsewhere: the credit
     /// that outlasts the first pledge to end is at most the burst of the pledges that last.
-    fn room_for(&self, entry: &SlotOwner, now: ClockInstant) -> TokenCount {
+    fn room_for(&self, entry: &MemberSeat, now: ClockInstant) -> TokenCount {
         let horizon = now + widened(self.timings.credit_term);
         let ending = self.pledges.values().map(|pledge| pledge.ends).filter(|end| *end <= horizon);
         let first_end = ending.min().unwrap_or(now);
@@ -368,7 +369,7 @@
         self.burst_after(horizon) - held
     }
 
-    fn extend(&mut self, entry: &SlotOwner, now: ClockInstant) {
+    fn extend(&mut self, entry: &MemberSeat, now: ClockInstant) {
         let room = self.room_for(entry, now);
         let expires = now + widened(self.timings.credit_term);
         if let Some(account) = self.accounts.get_mut(entry) {
@@ -379,7 +380,7 @@
         }
     }
 
-    fn grant(&mut self, entry: &SlotOwner, wanted: TokenCount, now: ClockInstant) -> TokenCount {
+    fn grant(&mut self, entry: &MemberSeat, wanted: TokenCount, now: ClockInstant) -> TokenCount {
         let room = self.room_for(entry, now);
         let level = self.level.whole();
         let Some(account) = self.accounts.get_mut(entry) else { return TokenCount(0) };
@@ -394,7 +395,7 @@
     }
 
     /// Serves claims first come first served; returns the entries that got something.
-    fn serve_claims(&mut self, now: ClockInstant) -> BTreeSet<SlotOwner> {
+    fn serve_claims(&mut self, now: ClockInstant) -> BTreeSet<MemberSeat> {
         let mut served = BTreeSet::new();
         let part_of_burst = TokenCount(self.burst_after(now).0 / PARTIAL_GRANT_DIVISOR);
         let yielded = self.rate().tokens_within(PARTIAL_GRANT_SPAN);
@@ -419,17 +420,17 @@
         served
     }
 
-    fn grant_spare(&mut self, entry: &SlotOwner, spare: TokenCount, now: ClockInstant) {
+    fn grant_spare(&mut self, entry: &MemberSeat, spare: TokenCount, now: ClockInstant) {
         if self.claims.is_empty() {
             let most = TokenCount(self.level.whole().0 / SPARE_DIVISOR);
             self.grant(entry, spare.min(most), now);
         }
     }
 
-    fn grants(&self, entries: BTreeSet<SlotOwner>, now: ClockInstant) -> Vec<LedgerMessage> {
+    fn grants(&self, entries: BTreeSet<MemberSeat>, now: ClockInstant) -> Vec<LedgerMessage> {
         let (rate, burst) = (self.rate(), self.burst_after(now));
         let gathered = self.gathering_since.is_some_and(|since| now.since(since) >= GATHERING_SPAN);
-        let granted = |entry: SlotOwner| {
+        let granted = |entry: MemberSeat| {
             let account = self.accounts.get(&entry)?;
             let grant = CreditGrant {
                 entry: entry.incarnation,
@@ -448,7 +449,7 @@
     }
 
     /// Returns when the newest claim of `entry` will be met, by the rate of the pool.
-    fn wait_of(&self, entry: &SlotOwner) -> Option<Duration> {
+    fn wait_of(&self, entry: &MemberSeat) -> Option<Duration> {
         let Some(last) = self.claims.iter().rposition(|(claimant, _)| claimant == entry) else {
             return Some(Duration::ZERO);
         };
@@ -460,7 +461,7 @@
         if self.claims.is_empty() && !self.releasing {
             return Vec::new();
         }
-        let waiting: BTreeSet<SlotOwner> =
+        let waiting: BTreeSet<MemberSeat> =
             self.claims.iter().map(|(entry, _)| entry.clone()).collect();
         let mut messages = Vec::new();
         for (entry, account) in &mut self.accounts {
--- a/crates/decisions/src/shares/machine.rs
+++ b/crates/decisions/src/shares/machine.rs
@@ -3,16 +3,16 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dotterellane_protocol::ShareMessage;
 use dotterellane_protocol::shares::{CreditGrant, ShareContent};
+use dotterellane_protocol::{MemberSeat, ShareMessage};
 use dotterellane_settings::document::TeamEntry;
-use dotterellane_units::{ClockInstant, HostId, RequestId, RowVersion, TeamId, TokenCount};
+use dotterellane_units::{ClockInstant, HostId, RequestId, TeamId, TokenCount};
 use thiserror::Error;
 
 use super::credit::EntryCredit;
 use super::ledger::{LedgerCounters, TeamLedger};
 use super::pledges::{LedgerAddress, MemberPledge};
-use super::slots::{OwnedSlots, SlotMap, SlotOwner, SlotProgress};
+use super::slots::{OwnedSlots, SlotMap, SlotProgress};
 use super::timings::ShareTimings;
 use super::waiting::{WaitEstimate, WaitingCharge, WaitingQueue};
 use crate::rendezvous::role_holder;
@@ -25,8 +25,10 @@
 pub struct ShareStanding {
     /// Whether the daemon knows all hard state that is in force.
     pub fresh: bool,
-    /// Newest version of the slot map that is in force.
-    pub slots_in_force: RowVersion,
+    /// Number of the newest change of the slot map that the daemon knows of.
+    pub slots_known: u64,
+    /// Number of the newest change of the slot map that is in force.
+    pub slots_in_force: u64,
 }
 
 /// What is to be done.
@@ -103,7 +105,7 @@
 /// All shares of one daemon.
 #[derive(Debug)]
 pub struct ShareMachine {
-    me: SlotOwner,
+    me: MemberSeat,
     timings: ShareTimings,
     standing: ShareStanding,
     slots: OwnedSlots,
@@ -113,7 +115,7 @@
 
 impl ShareMachine {
     /// Starts without teams, members and slots.
-    pub fn new(me: SlotOwner, timings: ShareTimings) -> Self {
+    pub fn new(me: MemberSeat, timings: ShareTimings) -> Self {
         Self {
             slots: OwnedSlots::new(me.clone(), timings),
             me,
@@ -161,9 +163,9 @@
         }
     }
 
-    /// Follows a slot map read at `version`.
-    pub fn set_slots(&mut self, map: &SlotMap, version: RowVersion, now: ClockInstant) {
-        self.slots.follow(map, version);
+    /// Follows a newer slot map.
+    pub fn set_slots(&mut self, map: &SlotMap, now: ClockInstant) {
+        self.slots.follow(map);
         self.update_parts(now);
     }
 
@@ -171,9 +173,11 @@
     pub fn set_standing(&mut self, standing: ShareStanding, now: ClockInstant) -> Vec<ShareAction> {
         let mut actions = Vec::new();
         self.standing = standing;
+        if !self.knows_slots() {
+            self.teams.values_mut().for_each(|state| state.member.forget(now));
+        }
         if !standing.fresh {
             for state in self.teams.values_mut() {
-                state.member.forget(now);
                 state.refuse_if(|_| true, &ShareRefusal::Unreachable, &mut actions);
             }
         }
@@ -188,6 +192,11 @@
         actions
     }
 
+    /// Tells whether no slot can have moved to another owner without this daemon's knowledge.
+    fn knows_slots(&self) -> bool {
+        self.standing.fresh && self.standing.slots_known <= self.slots.change()
+    }
+
     fn update_parts(&mut self, now: ClockInstant) {
         for state in self.teams.values_mut() {
             let part = state.rates.as_ref().map(|rates| self.slots.part_of(rates));
@@ -269,7 +278,7 @@
     /// Takes a message of another daemon.
     pub fn deliver(
         &mut self,
-        from: &SlotOwner,
+        from: &MemberSeat,
         message: &ShareMessage,
         now: ClockInstant,
     ) -> Vec<ShareAction> {
@@ -341,13 +350,13 @@
 
     fn handle(
         &mut self,
-        from: &SlotOwner,
+        from: &MemberSeat,
         message: &ShareMessage,
         now: ClockInstant,
         actions: &mut Vec<ShareAction>,
     ) {
         let team = &message.team;
-        let fresh = self.standing.fresh;
+        let knows_slots = self.knows_slots();
         let Some(state) = self.teams.get_mut(team) else { return };
         let address = LedgerAddress { host: from.host.clone(), epoch: message.epoch };
         let ledger = state.ledger.as_mut().filter(|ledger| ledger.epoch() == message.epoch);
@@ -355,7 +364,7 @@
         match &message.content {
             ShareContent::PledgeRequest(request) => {
                 let followed = state.holder.as_ref() == Some(&from.host);
-                if fresh && followed && state.rates.is_some() {
+                if knows_slots && followed && state.rates.is_some() {
                     let pledge = state.member.answer(&address, *request, now);
                     let answer =
                         pledge.map(|pledge| (from.host.clone(), ShareContent::Pledge(pledge)));
--- a/crates/decisions/src/shares/mod.rs
+++ b/crates/decisions/src/shares/mod.rs
@@ -22,5 +22,5 @@
 pub mod waiting;
 
 pub use machine::{ShareAction, ShareMachine, ShareStanding};
-pub use slots::{SlotMap, SlotOwner};
+pub use slots::SlotMap;
 pub use timings::ShareTimings;
--- a/crates/decisions/src/shares/slots.rs
+++ b/crates/decisions/src/shares/slots.rs
@@ -2,10 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use dotterellane_protocol::MemberSeat;
 use dotterellane_settings::document::TeamEntry;
-use dotterellane_units::{
-    ClockInstant, HostId, HostIncarnation, RowVersion, TokenCount, TokenRate,
-};
+use dotterellane_units::{ClockInstant, TokenCount, TokenRate};
 use serde::{Deserialize, Serialize};
 
 use super::timings::{ShareTimings, widened};
@@ -13,16 +12,6 @@
 /// Number of slots that the rate and burst of every team are split into.
 pub const SLOT_COUNT: u16 = 1_024;
 
-/// One incarnation of a host; a restarted daemon owns nothing of its predecessor.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-#[derive(Deserialize, Serialize)]
-pub struct SlotOwner {
-    /// Name of the host.
-    pub host: HostId,
-    /// Incarnation of its daemon.
-    pub incarnation: HostIncarnation,
-}
-
 /// Neighbouring slots that came to one owner with one change of the map.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -42,14 +31,14 @@
     /// Number of the change that made this map; the first is 1.
     pub change: u64,
     /// Owners, in order.
-    pub owners: Vec<SlotOwner>,
+    pub owners: Vec<MemberSeat>,
     /// Runs of slots that together are all slots, or none before the first change.
     pub runs: Vec<SlotRun>,
 }
 
 impl SlotMap {
     /// Returns owner and change of every slot; empty before the first change.
-    fn slots(&self) -> Vec<(&SlotOwner, u64)> {
+    fn slots(&self) -> Vec<(&MemberSeat, u64)> {
         let owned = |run: &SlotRun| Some((self.owners.get(usize::from(run.owner))?, *run));
         self.runs
             .iter()
@@ -59,11 +48,11 @@
             .collect()
     }
 
-    fn from_slots(change: u64, slots: &[(&SlotOwner, u64)]) -> Self {
-        let mut owners: Vec<SlotOwner> = slots.iter().map(|(owner, _)| (*owner).clone()).collect();
+    fn from_slots(change: u64, slots: &[(&MemberSeat, u64)]) -> Self {
+        let mut owners: Vec<MemberSeat> = slots.iter().map(|(owner, _)| (*owner).clone()).collect();
         owners.sort();
         owners.dedup();
-        let place = |owner: &SlotOwner| {
+        let place = |owner: &MemberSeat| {
             u16::try_from(owners.binary_search(owner).unwrap_or(0)).unwrap_or(0)
         };
         let runs = slots
@@ -78,19 +67,19 @@
     }
 
     /// Returns the number of slots of `owner`.
-    pub fn owned_by(&self, owner: &SlotOwner) -> usize {
+    pub fn owned_by(&self, owner: &MemberSeat) -> usize {
         self.slots().iter().filter(|(found, _)| *found == owner).count()
     }
 
     /// Returns the map after moving as few slots as an even split over `members` needs; `None`
     /// while every owner is a member and no member has less than half of its part.
-    pub fn rebalanced(&self, members: &[SlotOwner]) -> Option<Self> {
+    pub fn rebalanced(&self, members: &[MemberSeat]) -> Option<Self> {
         if members.is_empty() {
             return None;
         }
         let slots = self.slots();
         let part = usize::from(SLOT_COUNT) / members.len();
-        let mut held: BTreeMap<&SlotOwner, usize> = members.iter().map(|m| (m, 0)).collect();
+        let mut held: BTreeMap<&MemberSeat, usize> = members.iter().map(|m| (m, 0)).collect();
         let mut gone = slots.len() != usize::from(SLOT_COUNT);
         for (owner, _) in &slots {
             match held.get_mut(owner) {
@@ -104,14 +93,14 @@
         Some(self.moved(members, slots))
     }
 
-    fn moved(&self, members: &[SlotOwner], slots: Vec<(&SlotOwner, u64)>) -> Self {
+    fn moved(&self, members: &[MemberSeat], slots: Vec<(&MemberSeat, u64)>) -> Self {
         let total = usize::from(SLOT_COUNT);
         let change = self.change + 1;
         let (part, rest) = (total / members.len(), total % members.len());
         let quota = |place: usize| part + usize::from(place < rest);
-        let mut open: BTreeMap<&SlotOwner, usize> =
+        let mut open: BTreeMap<&MemberSeat, usize> =
             members.iter().enumerate().map(|(place, member)| (member, quota(place))).collect();
-        let mut kept: Vec<Option<(&SlotOwner, u64)>> = Vec::with_capacity(total);
+        let mut kept: Vec<Option<(&MemberSeat, u64)>> = Vec::with_capacity(total);
         for place in 0..total {
             let held = slots.get(place).copied();
             let left = held.and_then(|(owner, _)| open.get_mut(owner)).filter(|left| **left > 0);
@@ -122,7 +111,7 @@
         }
         let mut takers =
             open.into_iter().flat_map(|(member, left)| std::iter::repeat_n(member, left));
-        let filled: Vec<(&SlotOwner, u64)> = kept
+        let filled: Vec<(&MemberSeat, u64)> = kept
             .into_iter()
             .filter_map(|slot| slot.or_else(|| takers.next().map(|member| (member, change))))
             .collect();
@@ -135,7 +124,7 @@
     /// Owned by another host.
     Foreign,
     /// Owned, but its former owner may not know yet that it has lost it.
-    Gained { since: u64, version: RowVersion },
+    Gained { since: u64 },
     /// Owned, but may still be pledged by its former owner.
     Waiting { since: u64, until: ClockInstant },
     /// Owned and usable.
@@ -146,7 +135,7 @@
     fn since(self) -> Option<u64> {
         match self {
             Self::Foreign => None,
-            Self::Gained { since, .. } | Self::Waiting { since, .. } | Self::Usable { since } => {
+            Self::Gained { since } | Self::Waiting { since, .. } | Self::Usable { since } => {
                 Some(since)
             }
         }
@@ -167,7 +156,7 @@
 /// The slots that one daemon may use.
 #[derive(Clone, Debug)]
 pub struct OwnedSlots {
-    owner: SlotOwner,
+    owner: MemberSeat,
     timings: ShareTimings,
     change: u64,
     slots: Vec<SlotUse>,
@@ -177,14 +166,14 @@
 
 impl OwnedSlots {
     /// Starts without a slot.
-    pub fn new(owner: SlotOwner, timings: ShareTimings) -> Self {
+    pub fn new(owner: MemberSeat, timings: ShareTimings) -> Self {
         let slots = vec![SlotUse::Foreign; usize::from(SLOT_COUNT)];
         Self { owner, timings, change: 0, slots, awaited: false, usable: Vec::new() }
     }
 
-    /// Follows a map read at `version`; lost slots are given up at once, gained ones are used when
-    /// the version is in force.
-    pub fn follow(&mut self, map: &SlotMap, version: RowVersion) {
+    /// Follows a newer map; lost slots are given up at once, gained ones are used when the change
+    /// by which they came is in force.
+    pub fn follow(&mut self, map: &SlotMap) {
         if map.change <= self.change {
             return;
         }
@@ -194,7 +183,7 @@
             *slot = match read.get(place) {
                 Some((owner, since)) if **owner == self.owner => {
                     let kept = slot.since() == Some(*since);
-                    if kept { *slot } else { SlotUse::Gained { since: *since, version } }
+                    if kept { *slot } else { SlotUse::Gained { since: *since } }
                 }
                 _ => SlotUse::Foreign,
             };
@@ -202,8 +191,8 @@
         self.list_usable();
     }
 
-    /// Takes gained slots into use whose version is in force and whose old pledges have ended.
-    pub fn advance(&mut self, in_force: RowVersion, now: ClockInstant) -> SlotProgress {
+    /// Takes gained slots into use whose change is in force and whose old pledges have ended.
+    pub fn advance(&mut self, in_force: u64, now: ClockInstant) -> SlotProgress {
         if !self.awaited {
             return SlotProgress::None;
         }
@@ -212,11 +201,11 @@
         for slot in &mut self.slots {
             let next = match *slot {
                 // The first change of all takes slots from nobody.
-                SlotUse::Gained { since: 1, version } if version <= in_force => {
+                SlotUse::Gained { since: 1 } if in_force >= 1 => {
                     first = true;
                     SlotUse::Usable { since: 1 }
                 }
-                SlotUse::Gained { since, version } if version <= in_force => {
+                SlotUse::Gained { since } if since <= in_force => {
                     SlotUse::Waiting { since, until: ended }
                 }
                 SlotUse::Waiting { since, until } if until <= now => SlotUse::Usable { since },
@@ -234,6 +223,11 @@
         }
     }
 
+    /// Returns the number of the change that made the map that is followed.
+    pub fn change(&self) -> u64 {
+        self.change
+    }
+
     fn list_usable(&mut self) {
         let awaited =
             |slot: &SlotUse| matches!(slot, SlotUse::Gained { .. } | SlotUse::Waiting { .. });
--- a/crates/fleet/src/shares.rs
+++ b/crates/fleet/src/shares.rs
@@ -2,10 +2,11 @@
 //!
 //! [`start_shares`] assumes of its caller that
 //!
-//! - a daemon is fresh only if it has confirmed every slot map that is in force, where confirming
-//!   is the call of [`ShareParts::confirm_slots`] with the version of the row [`SLOTS_KEY`];
-//! - a version is in force once every fresh daemon has confirmed it, and stays so;
-//! - [`ShareStanding`] is read at the moment of the call, not earlier.
+//! - [`ShareParts::append`] commits the transaction together with an entry of the log of changes
+//!   that names the slot change, so that a daemon is fresh only if it knows every slot change that
+//!   is in force: [`ShareStanding::slots_known`] is the newest that this daemon has followed;
+//! - [`ShareStanding::slots_in_force`] grows only once every fresh daemon knows the change;
+//! - the standing is worked out at the moment of the call, not earlier, without calling back.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -16,12 +17,12 @@
 use dotterellane_decisions::rendezvous::{role_holder, role_weight};
 use dotterellane_decisions::shares::machine::ShareRefusal;
 use dotterellane_decisions::shares::{
-    ShareAction, ShareMachine, ShareStanding, ShareTimings, SlotMap, SlotOwner,
+    ShareAction, ShareMachine, ShareStanding, ShareTimings, SlotMap,
 };
 use dotterellane_platform::{
     CommitOutcome, PlatformTable, RowCondition, RowWrite, TableError, TableTransaction,
 };
-use dotterellane_protocol::PeerMessage;
+use dotterellane_protocol::{MemberSeat, PeerMessage};
 use dotterellane_units::{ClockSource, HostId, RequestId, RowVersion, TeamId, TokenCount};
 use futures::future::BoxFuture;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
@@ -52,24 +53,22 @@
 /// How long the members must ask for other owners before slots are moved.
 const SETTLING_SPAN: Duration = Duration::from_secs(5);
 
-type StandingCall = dyn Fn() -> SlotStanding + Send + Sync;
-type ConfirmCall = dyn Fn(RowVersion) + Send + Sync;
-
-/// What the caller knows of this daemon's standing and of the slot map's versions.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct SlotStanding {
-    /// Whether the daemon knows all hard state that is in force.
-    pub fresh: bool,
-    /// Newest version of the slot map that is in force.
-    pub in_force: RowVersion,
-    /// Newest version of the slot map that was heard of.
-    pub head: RowVersion,
+type StandingCall = dyn Fn() -> ShareStanding + Send + Sync;
+type AppendCall = dyn Fn(SlotChange) -> BoxFuture<'static, Result<bool, String>> + Send + Sync;
+
+/// A change of the slot map that shall be made.
+#[derive(Clone, Debug)]
+pub struct SlotChange {
+    /// Number of the change; the log entry must carry it to every daemon.
+    pub number: u64,
+    /// Writes the map if its row is still the one that the change was made from.
+    pub transaction: TableTransaction,
 }
 
 /// What shares are built from.
 pub struct ShareParts {
     /// This host and its incarnation.
-    pub owner: SlotOwner,
+    pub owner: MemberSeat,
     /// Terms of pledges and credits.
     pub timings: ShareTimings,
     /// Clock that deadlines are read on.
@@ -88,8 +87,8 @@
     pub timers: TimerService,
     /// Tells this daemon's standing now.
     pub standing: Arc<StandingCall>,
-    /// Called when the daemon follows a version of the slot map.
-    pub confirm_slots: Arc<ConfirmCall>,
+    /// Makes a change of the slot map; tells whether it was made, with the cause if that failed.
+    pub append: Arc<AppendCall>,
     /// Registry of the daemon's metrics.
     pub registry: Registry,
 }
@@ -108,6 +107,8 @@
     Table { step: &'static str, cause: TableError },
     #[error("decode slot map of version {version}: {cause}")]
     Malformed { version: RowVersion, cause: postcard::Error },
+    #[error("append slot change {change}: {cause}")]
+    Append { change: u64, cause: String },
     #[error("encode slot map: {cause}")]
     Encode { cause: postcard::Error },
 }
@@ -130,7 +131,7 @@
 }
 
 struct ShareCore {
-    owner: SlotOwner,
+    owner: MemberSeat,
     clock: ClockSource,
     sender: PeerSender,
     standing: Arc<StandingCall>,
@@ -183,7 +184,7 @@
         core: core.clone(),
         table: parts.table,
         members: parts.members,
-        confirm: parts.confirm_slots,
+        append: parts.append,
         version: RowVersion(0),
         map: None,
         wanted_for: Duration::ZERO,
@@ -194,6 +195,20 @@
     Ok(RunningShares { core, _tasks: Arc::new(tasks) })
 }
 
+/// Returns standing and append call of a daemon that is alone: what it commits is in force.
+pub fn lone_daemon_calls(table: PlatformTable) -> (Arc<StandingCall>, Arc<AppendCall>) {
+    let standing = ShareStanding { fresh: true, slots_known: 0, slots_in_force: u64::MAX };
+    let append = move |change: SlotChange| -> BoxFuture<'static, Result<bool, String>> {
+        let table = table.clone();
+        Box::pin(async move {
+            let outcome = table.commit(change.transaction).await;
+            let outcome = outcome.map_err(|error| error.to_string())?;
+            Ok(matches!(outcome, CommitOutcome::Committed(_)))
+        })
+    };
+    (Arc::new(move || standing), Arc::new(append))
+}
+
 fn spawn_until<F>(stopped: &CancellationToken, task: F)
 where
     F: Future<Output = ()> + Send + 'static,
@@ -275,9 +290,7 @@
     {
         let mut state = self.state();
         let now = self.clock.now();
-        let SlotStanding { fresh, in_force, .. } = (self.standing)();
-        let standing = ShareStanding { fresh, slots_in_force: in_force };
-        let mut actions = state.machine.set_standing(standing, now);
+        let mut actions = state.machine.set_standing((self.standing)(), now);
         actions.extend(step(&mut state.machine, now));
         let sends = self.answer(&mut state, actions);
         drop(state);
@@ -382,10 +395,9 @@
 
 async fn receive_messages(core: Arc<ShareCore>, mut inbox: PeerInbox) {
     while let Some(delivery) = inbox.recv().await {
-        #[allow(irrefutable_let_patterns)]
         let PeerMessage::Shares(message) = delivery.message else { continue };
         core.metrics.messages.with_label_values(&["received"]).inc();
-        let from = SlotOwner { host: delivery.from, incarnation: delivery.incarnation };
+        let from = MemberSeat { host: delivery.from, incarnation: delivery.incarnation };
         core.run(|machine, now| machine.deliver(&from, &message, now));
     }
 }
@@ -411,7 +423,7 @@
     core: Arc<ShareCore>,
     table: PlatformTable,
     members: MemberFeed,
-    confirm: Arc<ConfirmCall>,
+    append: Arc<AppendCall>,
     version: RowVersion,
     map: Option<SlotMap>,
     wanted_for: Duration,
@@ -438,9 +450,9 @@
     }
 
     async fn check(&mut self) -> Result<(), SlotError> {
-        let head = (self.core.standing)().head;
-        let due = self.read_before >= self.jittered(SLOT_READ_PERIOD);
-        if self.map.is_none() || head > self.version || due {
+        let known = (self.core.standing)().slots_known;
+        let behind = self.map.as_ref().is_none_or(|map| map.change < known);
+        if behind || self.read_before >= self.jittered(SLOT_READ_PERIOD) {
             self.read().await?;
             self.read_before = Duration::ZERO;
         }
@@ -454,23 +466,15 @@
             self.map.get_or_insert_default();
             return Ok(());
         };
-        let map = postcard::from_bytes(&row.value)
+        let map: SlotMap = postcard::from_bytes(&row.value)
             .map_err(|cause| SlotError::Malformed { version: row.version, cause })?;
-        self.follow(map, row.version);
-        Ok(())
-    }
-
-    fn follow(&mut self, map: SlotMap, version: RowVersion) {
-        if version <= self.version {
-            return;
-        }
         self.core.run(|machine, now| {
-            machine.set_slots(&map, version, now);
+            machine.set_slots(&map, now);
             Vec::new()
         });
-        self.version = version;
+        self.version = row.version;
         self.map = Some(map);
-        (self.confirm)(version);
+        Ok(())
     }
 
     async fn move_slots(&mut self) -> Result<(), SlotError> {
@@ -478,9 +482,8 @@
             self.wanted_for = Duration::ZERO;
             return Ok(());
         };
-        let first = moved.change == 1;
         self.wanted_for += SLOT_CHECK_PERIOD;
-        if !first && self.wanted_for < SETTLING_SPAN {
+        if moved.change > 1 && self.wanted_for < SETTLING_SPAN {
             return Ok(());
         }
         self.wanted_for = Duration::ZERO;
@@ -490,25 +493,22 @@
             conditions: vec![RowCondition { key: key.clone(), version: self.version }],
             writes: vec![RowWrite { key, value: Some(value) }],
         };
-        let outcome = self.table.commit(transaction).await;
-        match outcome.map_err(|cause| SlotError::Table { step: "move slots", cause })? {
-            CommitOutcome::Committed(versions) => {
-                self.core.metrics.slot_moves.with_label_values(&["committed"]).inc();
-                let version = versions.first().copied().unwrap_or_default();
-                spdlog::info!("share slots moved: change {}, version {version}", moved.change);
-                self.follow(moved, version);
-                Ok(())
-            }
-            CommitOutcome::Conflict(_) => self.read().await,
+        let appended = (self.append)(SlotChange { number: moved.change, transaction }).await;
+        let made = appended.map_err(|cause| SlotError::Append { change: moved.change, cause })?;
+        let outcome = if made { "made" } else { "raced" };
+        self.core.metrics.slot_moves.with_label_values(&[outcome]).inc();
+        if made {
+            spdlog::info!("share slots: change {} made", moved.change);
         }
+        self.read().await
     }
 
     /// Returns the map that should be written, if this host holds the role and one should.
     fn wanted_map(&self) -> Option<SlotMap> {
         let view = self.members.borrow().clone();
-        let serving: Vec<SlotOwner> = view
+        let serving: Vec<MemberSeat> = view
             .serving()
-            .map(|m| SlotOwner { host: m.host.clone(), incarnation: m.incarnation })
+            .map(|m| MemberSeat { host: m.host.clone(), incarnation: m.incarnation })
             .collect();
         let hosts = serving.iter().map(|owner| &owner.host);
         let keeper = role_holder(SLOT_KEEPER_ROLE, SLOTS_KEY, hosts)?;
