Decide who orders a runner and what counts as loaded

Cause: loaded replicas must never outnumber decided ones and memory must never be overcommitted while keepers die, pause or are cut off and orders come late or twice. Change: placement rows of slots; a lease row and a keeper for each runner; a memory ledger over loads in flight. A fencing number is generation and attempt: a removed slot raises the generation at the runner before it leaves the table, so that a keeper that missed it cannot take over without the table. On runners without fencing an order is written down first and counts until no copy of it can arrive. Unloads raise the fence first, which shuts late copies of the load out.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,7 +5,11 @@
 
 pub mod fairness;
 pub mod freshness;
+pub mod keeper;
+pub mod leases;
 pub mod membership;
+pub mod memory_ledger;
+pub mod placement;
 pub mod rendezvous;
 pub mod rounds;
 pub mod shares;
