Add the decisions of dispatch, cold start and retries

Cause: the runtime needs a dispatcher, a load queue, keep-alive and retry budgets, all without input or output.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,13 +3,20 @@
 //! Each module is a state machine: time and events go in, messages and actions come out. The
 //! daemons and the scenarios run the same code.
 
+pub mod cold_start;
+pub mod dispatch;
+pub mod ejection;
 pub mod fairness;
 pub mod freshness;
+pub mod keep_alive;
 pub mod keeper;
 pub mod leases;
+pub mod load_queue;
 pub mod membership;
 pub mod memory_ledger;
 pub mod placement;
+pub mod prefix;
 pub mod rendezvous;
+pub mod retries;
 pub mod rounds;
 pub mod shares;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,5 @@
 //! Stand-ins of the platform, runners and services for tests, demo and bench.
 
-
 pub mod faulty_runner;
 pub mod http_server;
 pub mod platform_server;
--- a/crates/standins/src/runner/control.rs
+++ b/crates/standins/src/runner/control.rs
@@ -26,9 +26,9 @@
 /// How often an order looks whether an earlier one has ended.
 const JOIN_POLL: Duration = Duration::from_millis(5);
 /// Speed at which one load reads from the weight store, in bytes a second.
-const STORE_SPEED: f64 = 16.0 * (1_u64 << 30) as f64;
+const STORE_SPEED: f64 = 8.0 * (1_u64 << 30) as f64;
 /// Speed at which a runner reads from its disk, in bytes a second.
-const DISK_SPEED: f64 = 8.0 * (1_u64 << 30) as f64;
+const DISK_SPEED: f64 = 16.0 * (1_u64 << 30) as f64;
 /// Speed at which a runner reads from its machine's memory, in bytes a second.
 const MEMORY_SPEED: f64 = 64.0 * (1_u64 << 30) as f64;
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,6 +1,5 @@
 //! Calls, orders and events of runners and services.
 
-
 pub mod calls;
 pub mod connect;
 pub mod orders;
