--- a/crates/decisions/src/freshness.rs
+++ b/crates/decisions/src/freshness.rs
@@ -68,6 +68,7 @@
     seats: Vec<SeatState>,
     confirmed: BTreeMap<MemberSeat, LogPosition>,
     gone: BTreeSet<MemberSeat>,
+    replaced: BTreeSet<MemberSeat>,
     reached: BTreeMap<LogPosition, ClockInstant>,
     calls: BTreeMap<u64, (HostId, ClockInstant)>,
     leaving: bool,
@@ -84,6 +85,7 @@
             seats: Vec::new(),
             confirmed: BTreeMap::new(),
             gone: BTreeSet::new(),
+            replaced: BTreeSet::new(),
             reached: BTreeMap::new(),
             calls: BTreeMap::new(),
             leaving: false,
@@ -283,6 +285,7 @@
         };
         self.seats = lists.current().records.iter().map(|record| state(&record.seat)).collect();
         self.lists = lists.clone();
+        self.replaced = lists.replaced();
         let seats = lists.seats();
         self.confirmed.retain(|seat, _| seats.contains(seat));
         self.gone.retain(|seat| seats.contains(seat));
@@ -318,8 +321,11 @@
     }
 
     fn is_blocked(&self, position: LogPosition) -> bool {
-        let counts =
-            |seat: &MemberSeat| self.gone.contains(seat) || self.has_confirmed(seat, position);
+        let counts = |seat: &MemberSeat| {
+            self.gone.contains(seat)
+                || self.replaced.contains(seat)
+                || self.has_confirmed(seat, position)
+        };
         self.lists.in_use(self.heads.in_force).iter().all(|list| list.is_blocked(counts))
     }
 
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! daemons and the scenarios run the same code.
 
 pub mod freshness;
+pub mod gossip;
 pub mod membership;
 pub mod rendezvous;
 pub mod rounds;
--- a/crates/decisions/src/membership.rs
+++ b/crates/decisions/src/membership.rs
@@ -27,25 +27,19 @@
 }
 
 impl MemberList {
-    /// Returns the list after the change that the entry at `position` makes.
+    /// Returns the list after `change`.
     ///
     /// A member that joins takes the place of an earlier incarnation of its host.
     #[must_use]
-    pub fn changed(
-        &self,
-        position: LogPosition,
-        joined: &[MemberRecord],
-        removed: &[MemberSeat],
-    ) -> Self {
-        let replaced = |record: &MemberRecord| {
-            removed.contains(&record.seat)
-                || joined.iter().any(|joining| joining.seat.host == record.seat.host)
+    pub fn changed(&self, change: &MemberChange<'_>) -> Self {
+        let replaced = |record: &&MemberRecord| {
+            change.removed.contains(&record.seat)
+                || change.joined.iter().any(|joining| joining.seat.host == record.seat.host)
         };
-        let mut records: Vec<MemberRecord> =
-            self.records.iter().filter(|record| !replaced(record)).cloned().collect();
-        records.extend(joined.iter().cloned());
+        let kept = self.records.iter().filter(|record| !replaced(record));
+        let mut records: Vec<MemberRecord> = kept.chain(change.joined).cloned().collect();
         records.sort_by(|one, other| one.seat.cmp(&other.seat));
-        Self { made_at: position, records }
+        Self { made_at: change.position, records }
     }
 
     /// Returns the place of `seat` in the list.
@@ -83,13 +77,28 @@
     }
 }
 
-/// Number of lists that are kept: the newest, and those that a fresh daemon may still use.
-pub const LISTS_KEPT: usize = 4;
+/// Lists in use beyond which members neither join nor are removed.
+pub const LISTS_BOUND: usize = 4;
+
+/// Lists in use beyond which not even restarted members join.
+pub const REPLACING_LISTS_BOUND: usize = 64;
+
+/// A change of the member list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MemberChange<'a> {
+    /// Entry that makes the change.
+    pub position: LogPosition,
+    /// Members that join or replace an earlier incarnation of their host.
+    pub joined: &'a [MemberRecord],
+    /// Seats that are listed no more.
+    pub removed: &'a [MemberSeat],
+    /// Newest entry that the author knew to be in force.
+    pub in_force: LogPosition,
+}
 
-/// The newest member lists, oldest first.
+/// The member lists that a fresh daemon may still use, oldest first.
 ///
-/// The oldest one is dropped only once the list after it is in force; no daemon that is fresh
-/// uses it then.
+/// A list is dropped only once the list after it is in force.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct MemberLists(Vec<MemberList>);
 
@@ -108,23 +117,28 @@
         self.0.last().expect("there is always a list")
     }
 
-    /// Returns the lists after the change that the entry at `position` makes.
+    /// Returns the lists after `change`.
     #[must_use]
-    pub fn changed(
-        &self,
-        position: LogPosition,
-        joined: &[MemberRecord],
-        removed: &[MemberSeat],
-    ) -> Self {
-        let dropped = (self.0.len() + 1).saturating_sub(LISTS_KEPT);
-        let mut lists = self.0[dropped..].to_vec();
-        lists.push(self.current().changed(position, joined, removed));
+    pub fn changed(&self, change: &MemberChange<'_>) -> Self {
+        let mut lists = self.in_use(change.in_force).to_vec();
+        lists.push(self.current().changed(change));
         Self(lists)
     }
 
-    /// Tells whether the list may change again, given the newest entry known to be in force.
+    /// Tells whether members may join or be removed, given the newest entry known to be in force.
     pub fn may_change(&self, in_force: LogPosition) -> bool {
-        self.0.len() < LISTS_KEPT || self.0[1].made_at <= in_force
+        self.in_use(in_force).len() < LISTS_BOUND
+    }
+
+    /// Tells whether `joining` may join: it always helps to settle the lists if it proves that an
+    /// earlier incarnation runs no more.
+    pub fn may_join(&self, joining: &MemberRecord, in_force: LogPosition) -> bool {
+        let lists = self.in_use(in_force);
+        if lists.len() < LISTS_BOUND {
+            return true;
+        }
+        let mut earlier = lists.iter().filter_map(|list| list.find(&joining.seat.host));
+        lists.len() < REPLACING_LISTS_BOUND && earlier.any(|record| replaces(joining, record))
     }
 
     /// Returns the lists that a fresh daemon may use while `in_force` is the newest entry known
@@ -134,6 +148,17 @@
         &self.0[settled.unwrap_or(0)..]
     }
 
+    /// Returns the seats whose host has a later incarnation on the same address: a socket is
+    /// bound by one process, so the earlier one runs no more.
+    pub fn replaced(&self) -> BTreeSet<MemberSeat> {
+        let is_replaced = |record: &&MemberRecord| {
+            let mut others = self.0.iter().filter_map(|list| list.find(&record.seat.host));
+            others.any(|other| replaces(other, record))
+        };
+        let records = self.0.iter().flat_map(|list| &list.records);
+        records.filter(is_replaced).map(|record| record.seat.clone()).collect()
+    }
+
     /// Returns the seats of all lists.
     pub fn seats(&self) -> BTreeSet<&MemberSeat> {
         self.0.iter().flat_map(|list| &list.records).map(|record| &record.seat).collect()
@@ -180,3 +205,9 @@
         seats.filter(|seat| absent(seat) && silent(seat)).cloned().collect()
     }
 }
+
+fn replaces(later: &MemberRecord, earlier: &MemberRecord) -> bool {
+    later.seat.host == earlier.seat.host
+        && later.seat.incarnation > earlier.seat.incarnation
+        && later.address == earlier.address
+}
--- /dev/null
+++ b/crates/decisions/tests/freshness/main.rs
@@ -0,0 +1,117 @@
+//! No daemon that lacks a change admits once the change is said to be in force.
+
+mod script;
+mod simulation;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+
+use script::{ScenarioCommand, ScenarioRunner, scenario_paths};
+use simulation::Simulation;
+
+#[gtest]
+fn scenarios_all() {
+    let paths = scenario_paths();
+    expect_that!(paths.len(), ge(10));
+    for path in paths {
+        goldenscript::run(&mut ScenarioRunner::default(), path).unwrap();
+    }
+}
+
+fn host(count: usize) -> impl Strategy<Value = String> {
+    (0..u8::try_from(count).unwrap()).prop_map(|index| char::from(b'a' + index).to_string())
+}
+
+fn command(count: usize) -> impl Strategy<Value = ScenarioCommand> {
+    let groups = prop::collection::vec(0..2_u32, count);
+    prop_oneof![
+        4 => host(count).prop_map(ScenarioCommand::Change),
+        8 => (1..40_u64).prop_map(|tenths| ScenarioCommand::Run(tenths as f64 / 10.0)),
+        1 => Just(ScenarioCommand::Table("down".to_owned())),
+        1 => Just(ScenarioCommand::Table("up".to_owned())),
+        1 => Just(ScenarioCommand::Answers("lost".to_owned())),
+        1 => Just(ScenarioCommand::Answers("kept".to_owned())),
+        1 => host(count).prop_map(|host| ScenarioCommand::Cut(vec![host])),
+        2 => groups.prop_map(split),
+        1 => Just(ScenarioCommand::Heal),
+        2 => host(count).prop_map(ScenarioCommand::Restart),
+        1 => host(count).prop_map(ScenarioCommand::Stop),
+        2 => (host(count), 1..80_u64).prop_map(|(host, tenths)| ScenarioCommand::Pause {
+            host,
+            seconds: tenths as f64 / 10.0,
+        }),
+        1 => host(count).prop_map(ScenarioCommand::Leave),
+        1 => host(count).prop_map(ScenarioCommand::Reclaim),
+        1 => (0..60_u32).prop_map(ScenarioCommand::Loss),
+    ]
+}
+
+fn split(groups: Vec<u32>) -> ScenarioCommand {
+    let hosts = |group: u32| -> String {
+        let members = groups.iter().zip('a'..).filter(|(found, _)| **found == group);
+        members.map(|(_, host)| host).collect()
+    };
+    ScenarioCommand::Split(vec![hosts(0), hosts(1)])
+}
+
+fn cases() -> u32 {
+    std::env::var("FRESHNESS_CASES").ok().and_then(|count| count.parse().ok()).unwrap_or(150)
+}
+
+/// Runs random orders of commands and faults, then heals and looks for progress.
+fn check_orders(count: usize, seed: u8) {
+    let config = Config { cases: cases(), failure_persistence: None, ..Config::default() };
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let orders = (any::<u64>(), prop::collection::vec(command(count), 1..40));
+    let checked = runner.run(&orders, |(seed, commands)| {
+        let mut simulation = Simulation::new(count, seed);
+        let mut scenario = ScenarioRunner::with(&mut simulation);
+        for command in &commands {
+            scenario.apply(command).map_err(TestCaseError::fail)?;
+        }
+        drop(scenario);
+        progress_after_healing(&mut simulation).map_err(TestCaseError::fail)
+    });
+    checked.unwrap();
+}
+
+fn progress_after_healing(simulation: &mut Simulation) -> std::result::Result<(), String> {
+    simulation.heal();
+    for host in simulation.hosts() {
+        simulation.start(&host);
+    }
+    // Members that stopped are replaced one list after another, each in force before a fourth.
+    simulation.run(Duration::from_secs(60))?;
+    if !simulation.all_fresh() {
+        return Err(format!("not all are fresh after healing:\n{}", simulation.describe()));
+    }
+    let first = simulation.newest().0 + 1;
+    simulation.change("a");
+    simulation.run(Duration::from_secs(6))?;
+    let within =
+        |delay: &Option<Duration>| delay.is_some_and(|delay| delay < Duration::from_secs(5));
+    let delays = simulation.delays(first);
+    match !delays.is_empty() && delays.values().all(within) {
+        true => Ok(()),
+        false => Err(format!("not in force within 5 s: {delays:?}")),
+    }
+}
+
+#[gtest]
+fn orders_five_hosts() {
+    check_orders(5, 1);
+}
+
+#[gtest]
+fn orders_four_hosts() {
+    check_orders(4, 2);
+}
+
+#[gtest]
+fn orders_two_hosts() {
+    check_orders(2, 3);
+}
--- a/crates/fleet/src/configuration_log.rs
+++ b/crates/fleet/src/configuration_log.rs
@@ -70,7 +70,7 @@
 
     fn progress(&self, version: ConfigVersion) -> ChangeProgress {
         let state = self.state();
-        let machine = &state.machine;
+        let machine = &state.gossip.freshness;
         let position = state.log.position_of(version);
         let in_force = position.is_some_and(|position| position <= machine.heads().in_force);
         // A version that is not known here has been confirmed by nobody heard of.
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -5,9 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use dotterellane_decisions::freshness::FreshnessMachine;
+use dotterellane_decisions::gossip::GossipMachine;
 use dotterellane_decisions::membership::AbsenceRecord;
-use dotterellane_decisions::rounds::RoundPlanner;
 use dotterellane_platform::{HostList, TableError, TableTransaction};
 use dotterellane_protocol::{
     GossipMessage, LogBody, LogEntry, LogHeads, LogPosition, MemberRecord, PeerMessage,
@@ -22,9 +21,6 @@
 use crate::transport::PeerTransport;
 use crate::{ConfigurationFeed, FreshnessState, MemberView};
 
-/// Peers that a daemon carries a new entry on to.
-pub const SPREAD_COUNT: usize = 3;
-
 /// How often an append is tried while others come first or answers are lost.
 const APPEND_ATTEMPTS: usize = 16;
 
@@ -47,8 +43,7 @@
 
 /// The state of one daemon's control.
 pub(crate) struct ControlState {
-    pub(crate) machine: FreshnessMachine,
-    pub(crate) planner: RoundPlanner,
+    pub(crate) gossip: GossipMachine,
     pub(crate) log: LogState,
     pub(crate) absence: AbsenceRecord,
     pub(crate) leaving: bool,
@@ -66,7 +61,7 @@
     pub(crate) heads: watch::Sender<LogHeads>,
     pub(crate) platform_errors: IntCounter,
     pub(crate) reading: Flag,
-    pub(crate) catching: Flag,
+    pub(crate) fetching: Flag,
     pub(crate) joining: Flag,
     pub(crate) tending: Flag,
     state: Mutex<ControlState>,
@@ -101,8 +96,7 @@
 impl FleetControl {
     pub(crate) fn new(record: MemberRecord, services: ControlServices, seed: u64) -> Self {
         let state = ControlState {
-            machine: FreshnessMachine::new(record.seat.clone()),
-            planner: RoundPlanner::new(seed),
+            gossip: GossipMachine::new(record.seat.clone(), seed),
             log: LogState::default(),
             absence: AbsenceRecord::default(),
             leaving: false,
@@ -118,7 +112,7 @@
             heads: watch::Sender::default(),
             platform_errors: services.platform_errors,
             reading: Flag::default(),
-            catching: Flag::default(),
+            fetching: Flag::default(),
             joining: Flag::default(),
             tending: Flag::default(),
             state: Mutex::new(state),
@@ -132,7 +126,7 @@
     pub(crate) fn freshness(&self) -> FreshnessState {
         // The clock is read under the lock: evidence that came meanwhile is not younger than it.
         let state = self.state();
-        match state.machine.evidence(self.clock.now()).is_fresh() {
+        match state.gossip.freshness.evidence(self.clock.now()).is_fresh() {
             true => FreshnessState::Fresh,
             false => FreshnessState::Stale,
         }
@@ -144,12 +138,12 @@
 
     pub(crate) fn learn_table(&self, asked_at: ClockInstant, head: LogHead) {
         let mut state = self.state();
-        state.machine.learn_table(asked_at, head.newest, head.in_force);
+        state.gossip.freshness.learn_table(asked_at, head.newest, head.in_force);
         self.publish_heads(&state);
     }
 
     pub(crate) fn publish_heads(&self, state: &ControlState) {
-        let heads = state.machine.heads();
+        let heads = state.gossip.freshness.heads();
         self.heads.send_if_modified(|known| {
             let changed = *known != heads;
             *known = heads;
@@ -175,21 +169,14 @@
         if changed && !self.follow_configuration(&state.log.snapshot) {
             return;
         }
-        state.machine.follow(entry.position, &state.log.snapshot.lists, now);
-        let peers = state.planner.spread(&state.machine, now, SPREAD_COUNT);
+        let actions = state.gossip.followed(entry, &state.log.snapshot.lists, now);
         self.after_follow(state);
-        let heads = state.machine.heads();
         let snapshot = self.due_snapshot(entry, state);
         drop(guard);
-        for peer in peers {
-            self.send(&peer, GossipMessage::Entry(entry.clone()));
-        }
-        if entry.author != self.record.seat.host {
-            self.send(&entry.author, GossipMessage::Confirmation(heads));
-        }
+        self.carry_out(actions);
         if let Some(snapshot) = snapshot {
-            let control = self.clone();
-            tokio::spawn(async move { control.store.put_snapshot(&snapshot).await });
+            let store = self.store.clone();
+            tokio::spawn(async move { store.put_snapshot(&snapshot).await });
         }
     }
 
@@ -205,7 +192,8 @@
             return;
         }
         state.log = log;
-        state.machine.follow(state.log.snapshot.position, &state.log.snapshot.lists, now);
+        let snapshot = &state.log.snapshot;
+        state.gossip.freshness.follow(snapshot.position, &snapshot.lists, now);
         self.after_follow(state);
     }
 
@@ -328,7 +316,7 @@
             accepted_at: epoch_seconds(),
             body,
         };
-        Ok(Some((entry, state.machine.heads().in_force, extra)))
+        Ok(Some((entry, state.gossip.freshness.heads().in_force, extra)))
     }
 }
 
--- a/crates/fleet/src/log_state.rs
+++ b/crates/fleet/src/log_state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use dotterellane_decisions::membership::MemberLists;
+use dotterellane_decisions::membership::{MemberChange, MemberLists};
 use dotterellane_protocol::{LogBody, LogEntry, LogPosition};
 use dotterellane_settings::document::ConfigurationDocument;
 use dotterellane_units::ConfigVersion;
@@ -100,8 +100,10 @@
                 self.version = *version;
                 changed = true;
             }
-            LogBody::Members { joined, removed } => {
-                self.lists = self.lists.changed(found, joined, removed);
+            LogBody::Members { joined, removed, in_force } => {
+                let in_force = *in_force;
+                let change = MemberChange { position: found, joined, removed, in_force };
+                self.lists = self.lists.changed(&change);
             }
             LogBody::Other { .. } => {}
         }
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -45,9 +45,9 @@
     pub(crate) fn keep_joined(self: &Arc<Self>) {
         let wanted = {
             let state = self.state();
-            let heads = state.machine.heads();
-            let may_change = state.machine.lists().may_change(heads.in_force);
-            !state.leaving && !state.machine.is_listed() && may_change
+            let machine = &state.gossip.freshness;
+            let may_join = machine.lists().may_join(&self.record, machine.heads().in_force);
+            !state.leaving && !machine.is_listed() && may_join
         };
         if wanted && self.joining.raise() {
             self.spawn(
@@ -67,16 +67,13 @@
             rows.iter().map(|row| decode("scan joining", row)).collect::<Result<_, _>>()?;
         let in_force = self.in_force();
         let appended = self.append(new_change(&self), |snapshot| {
-            if !snapshot.lists.may_change(in_force) {
-                return Err(MemberRefusal::Unsettled);
-            }
-            let joined = joinable(&snapshot.lists, &joining);
+            let joined = joinable(&snapshot.lists, in_force, &joining);
             if joined.is_empty() {
                 return Err(MemberRefusal::Done);
             }
             let writes = joined.iter().flat_map(join_writes).collect();
             let extra = TableTransaction { conditions: Vec::new(), writes };
-            Ok((LogBody::Members { joined, removed: Vec::new() }, extra))
+            Ok((LogBody::Members { joined, removed: Vec::new(), in_force }, extra))
         });
         accepted(appended.await)
     }
@@ -86,12 +83,12 @@
         {
             let mut state = self.state();
             state.leaving = true;
-            state.machine.set_leaving();
+            state.gossip.freshness.set_leaving();
         }
         for _ in 0..LEAVE_ATTEMPTS {
             let own = BTreeSet::from([self.record.seat.clone()]);
             // A seat that stays is removed once the platform's list has left the host out.
-            if self.remove(&own).await.is_ok() && !self.state().machine.is_listed() {
+            if self.remove(&own).await.is_ok() && !self.state().gossip.freshness.is_listed() {
                 return;
             }
             sleep(LEAVE_PAUSE).await;
@@ -103,8 +100,8 @@
         let tends = {
             let state = self.state();
             let now = self.clock.now();
-            let records = state.machine.lists().current().records.iter();
-            let alive = records.filter(|record| state.machine.is_alive(&record.seat, now));
+            let records = state.gossip.freshness.lists().current().records.iter();
+            let alive = records.filter(|record| state.gossip.freshness.is_alive(&record.seat, now));
             let hosts = alive.map(|record| &record.seat.host);
             role_holder("member-list", "", hosts) == Some(&self.record.seat.host)
         };
@@ -126,11 +123,11 @@
         let gone = {
             let mut guard = self.state();
             let state = &mut *guard;
-            let lists = state.machine.lists().clone();
+            let lists = state.gossip.freshness.lists().clone();
             state.absence.observe(&lists, &present, asked_at);
-            let machine = &state.machine;
+            let machine = &state.gossip.freshness;
             let gone = state.absence.gone(&lists, asked_at, |seat| machine.heard_at(seat));
-            state.machine.note_gone(gone.clone(), self.clock.now());
+            state.gossip.freshness.note_gone(gone.clone(), self.clock.now());
             gone
         };
         if gone.is_empty() {
@@ -154,19 +151,19 @@
             let writes =
                 removed.iter().map(|seat| RowWrite { key: member_key(&seat.host), value: None });
             let extra = TableTransaction { conditions: Vec::new(), writes: writes.collect() };
-            Ok((LogBody::Members { joined: Vec::new(), removed }, extra))
+            Ok((LogBody::Members { joined: Vec::new(), removed, in_force }, extra))
         });
         accepted(appended.await)
     }
 
     fn in_force(&self) -> LogPosition {
-        self.state().machine.heads().in_force
+        self.state().gossip.freshness.heads().in_force
     }
 
     /// Publishes the members as they are seen now.
     pub(crate) fn publish_members(&self, state: &ControlState) {
         let now = self.clock.now();
-        let machine = &state.machine;
+        let machine = &state.gossip.freshness;
         let info = |record: &MemberRecord| MemberInfo {
             host: record.seat.host.clone(),
             incarnation: record.seat.incarnation,
@@ -186,13 +183,18 @@
     }
 }
 
-/// Returns the joining members that are not listed and not superseded.
-fn joinable(lists: &MemberLists, joining: &[MemberRecord]) -> Vec<MemberRecord> {
+/// Returns the joining members that are not listed and not superseded, and may join now.
+fn joinable(
+    lists: &MemberLists,
+    in_force: LogPosition,
+    joining: &[MemberRecord],
+) -> Vec<MemberRecord> {
     let newer = |record: &&MemberRecord| {
         let listed = lists.current().find(&record.seat.host);
         listed.is_none_or(|listed| listed.seat.incarnation < record.seat.incarnation)
     };
-    joining.iter().filter(newer).take(JOIN_BATCH).cloned().collect()
+    let may_join = |record: &&MemberRecord| lists.may_join(record, in_force);
+    joining.iter().filter(newer).filter(may_join).take(JOIN_BATCH).cloned().collect()
 }
 
 fn join_writes(record: &MemberRecord) -> Vec<RowWrite> {
@@ -211,7 +213,7 @@
 
 fn new_change(control: &FleetControl) -> RequestId {
     let mut state = control.state();
-    let (high, low) = (state.planner.call_number(), state.planner.call_number());
+    let (high, low) = (state.gossip.planner.call_number(), state.gossip.planner.call_number());
     RequestId(u128::from(high) << 64 | u128::from(low))
 }
 
--- a/crates/protocol/src/gossip.rs
+++ b/crates/protocol/src/gossip.rs
@@ -88,6 +88,8 @@
         joined: Vec<MemberRecord>,
         /// Seats that are listed no more.
         removed: Vec<MemberSeat>,
+        /// Newest entry that the author knew to be in force; lists that this settles are dropped.
+        in_force: LogPosition,
     },
     /// Other hard state, such as the owner of share slots; its owner knows the encoding.
     Other {
