Count confirmations only of entries that are followed

Cause: a newcomer that followed nothing yet counted the confirmations of later entries against the empty member list, and called them in force while the paused only member of the first list admitted without them.

--- a/crates/decisions/src/freshness.rs
+++ b/crates/decisions/src/freshness.rs
@@ -312,8 +312,11 @@
     fn count_confirmations(&mut self, now: ClockInstant) {
         let latest = self.reached.keys().next_back().copied();
         let floor = latest.unwrap_or_default().max(self.heads.in_force);
+        // The member lists of entries that are not followed yet are unknown.
+        let countable =
+            |position: &LogPosition| *position > floor && *position <= self.heads.followed;
         let positions: BTreeSet<LogPosition> =
-            self.confirmed.values().copied().filter(|position| *position > floor).collect();
+            self.confirmed.values().copied().filter(countable).collect();
         let blocked = positions.into_iter().rev().find(|position| self.is_blocked(*position));
         if let Some(position) = blocked {
             self.reached.insert(position, now);
