--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ejection;
 pub mod fairness;
 pub mod freshness;
+pub mod gossip;
 pub mod keep_alive;
 pub mod keeper;
 pub mod leases;
