--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod calls;
 pub mod connect;
+pub mod orders;
 pub mod pool;
 
 pub use calls::{AnswerBody, CallError, CallFault, CallLimits, CallRequest, OpenAnswer, send_call};
