Put one daemon together from its parts

Cause: the demo and serve need the same daemon: control, shares, placement, entry, operators' side. Change: daemon::start; serve reads settings; the demo accepts its document through the log and waits until it is in force.

--- a/crates/decisions/src/leases.rs
+++ b/crates/decisions/src/leases.rs
@@ -7,7 +7,8 @@
 const ATTEMPT_BITS: u32 = 24;
 
 /// A model or an adapter on a runner.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct HeldItem {
     /// The model, or the base of the adapter.
     pub model: ModelId,
@@ -28,7 +29,8 @@
 }
 
 /// A load that a keeper may have ordered; written before the order is sent.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LoadIntent {
     /// What is loaded.
     pub item: HeldItem,
@@ -37,7 +39,8 @@
 }
 
 /// The row that names a runner's keeper.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RunnerLease {
     /// Host that gives orders.
     pub keeper: HostId,
--- a/crates/decisions/src/membership.rs
+++ b/crates/decisions/src/membership.rs
@@ -99,7 +99,8 @@
 /// The member lists that a fresh daemon may still use, oldest first.
 ///
 /// A list is dropped only once the list after it is in force.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct MemberLists(Vec<MemberList>);
 
 impl Default for MemberLists {
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -11,7 +11,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What may be done with a slot.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum SlotState {
     /// A replica may be loaded.
     Decided,
@@ -20,7 +21,8 @@
 }
 
 /// One slot of a model.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PlacementSlot {
     /// Number of the slot, never used twice for its model.
     pub number: SlotNumber,
@@ -31,7 +33,8 @@
 }
 
 /// All slots of a model.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PlacementRow {
     /// Number of the next slot.
     pub next: SlotNumber,
--- a/crates/decisions/tests/freshness/script.rs
+++ b/crates/decisions/tests/freshness/script.rs
@@ -7,7 +7,8 @@
 use super::simulation::Simulation;
 
 /// One command of a scenario.
-#[derive(Clone, Debug, PartialEq, goldenscript::Command)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(goldenscript::Command)]
 pub enum ScenarioCommand {
     /// Starts a fleet of hosts `a`, `b` and so on.
     Fleet {
--- a/crates/dotterellane/src/cli.rs
+++ b/crates/dotterellane/src/cli.rs
@@ -2,6 +2,8 @@
 
 pub mod operators;
 
+use std::path::PathBuf;
+
 use clap::{Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 
@@ -24,6 +26,10 @@
     #[command(flatten)]
     pub connection: ConnectionArguments,
 
+    /// How operators' commands reach the fleet
+    #[command(flatten)]
+    pub connection: ConnectionArguments,
+
     /// What to do
     #[command(subcommand)]
     pub command: Command,
@@ -45,6 +51,15 @@
     /// The operators' commands
     #[command(flatten)]
     Operator(OperatorCommand),
+    /// Run one daemon
+    Serve {
+        /// Settings of the daemon, in YAML
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
+    /// Operators' commands
+    #[command(flatten)]
+    Operator(OperatorCommand),
     /// Print shell completions
     Completions {
         /// Shell that they are for
--- a/crates/dotterellane/src/demo/document.rs
+++ b/crates/dotterellane/src/demo/document.rs
@@ -32,6 +32,14 @@
 /// Failure domains of the three runners.
 pub const RUNNER_DOMAINS: [&str; 3] = ["domain-a", "domain-a", "domain-b"];
 
+/// Accelerator memory of each runner.
+pub const RUNNER_MEMORY: ByteSize = ByteSize::gibibytes(80);
+
+/// Tells whether the runner of this index refuses orders with an old fencing number.
+pub fn honours_fencing(index: usize) -> bool {
+    index != 0
+}
+
 /// Builds the document from keys and addresses.
 ///
 /// # Errors
@@ -40,7 +48,7 @@
     team_digests: &[String],
     operator_digest: String,
     runners: &[SocketAddr],
-    service: Option<SocketAddr>,
+    service: SocketAddr,
 ) -> Result<ConfigurationDocument, UnitError> {
     let mut document = ConfigurationDocument::default();
     for ((team, rate, burst), digest) in TEAMS.iter().zip(team_digests) {
@@ -70,9 +78,9 @@
     }
     for (index, address) in runners.iter().enumerate() {
         let runner = RunnerEntry {
-            memory: ByteSize::gibibytes(80),
+            memory: RUNNER_MEMORY,
             accelerators: 1,
-            honours_fencing: index != 0,
+            honours_fencing: honours_fencing(index),
         };
         let entry = UpstreamEntry {
             address: *address,
@@ -82,9 +90,7 @@
         };
         document.upstreams.insert(format!("runner-{}", index + 1).parse()?, entry);
     }
-    if let Some(address) = service {
-        add_service(&mut document, address)?;
-    }
+    add_service(&mut document, service)?;
     Ok(document)
 }
 
--- a/crates/dotterellane/src/demo/mod.rs
+++ b/crates/dotterellane/src/demo/mod.rs
@@ -3,39 +3,46 @@
 mod document;
 mod instructions;
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
-use dotterellane_entry::{EntryContext, EntryLimits};
-use dotterellane_fleet::local::{LocalRunner, with_local_dispatch};
-use dotterellane_fleet::{ConfigurationFeed, ConfigurationSnapshot, FleetPorts, boot_clock};
+use dotterellane_admin::AdminOptions;
+use dotterellane_entry::EntryLimits;
+use dotterellane_fleet::{NodePlatform, NodeSettings, ProposedChange};
+use dotterellane_platform::http;
 use dotterellane_platform::memory::MemoryPlatform;
 use dotterellane_settings::document::ConfigurationDocument;
 use dotterellane_settings::keys::{CallerKey, OperatorKey, SECRET_BYTES};
 use dotterellane_standins::http_server::StandinServer;
-use dotterellane_standins::platform_server;
-use dotterellane_standins::runner::{RunnerOptions, StandinRunner};
-use dotterellane_units::ConfigVersion;
-use miette::IntoDiagnostic;
+use dotterellane_standins::runner::{EngineOptions, RunnerOptions, StandinRunner};
+use dotterellane_standins::weight_store::WeightStore;
+use dotterellane_standins::{PlainService, platform_server};
+use dotterellane_units::{ConfigVersion, RequestId};
+use dotterellane_upstream::orders::RunnerOrders;
+use miette::{IntoDiagnostic, miette};
 
 use crate::daemon::{self, DaemonHandle, DaemonOptions};
-use crate::demo::document::{ADAPTERS, MODELS, RUNNER_DOMAINS, TEAMS};
+use crate::demo::document::{ADAPTERS, MODELS, RUNNER_DOMAINS, SERVICE, TEAMS};
 use crate::demo::instructions::{DemoOutline, TeamKey};
 use crate::exit_codes::ExitCode;
 use crate::signals;
 
 const DAEMONS: usize = 3;
-const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const DAEMON_DOMAINS: [&str; DAEMONS] = ["domain-a", "domain-b", "domain-b"];
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+const POLL_PERIOD: Duration = Duration::from_millis(20);
+const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// No balancer stands before the demo, so nothing has to notice that it leaves.
 const SHUTDOWN_LAG: Duration = Duration::from_millis(100);
 
 /// A running demo.
-#[derive(Debug)]
 pub struct Demo {
     /// Addresses and keys.
     pub outline: DemoOutline,
     daemons: Vec<DaemonHandle>,
-    _standins: Vec<StandinServer>,
+    _upstreams: StandinUpstreams,
+    _platform: StandinServer,
 }
 
 /// Runs the demo until it is interrupted.
@@ -59,37 +66,25 @@
 /// Starts the demo.
 ///
 /// # Errors
-/// Fails if a port cannot be had.
+/// Fails if a port cannot be had or the daemons do not come together.
 pub async fn start() -> miette::Result<Demo> {
+    let upstreams = StandinUpstreams::start().await?;
     let platform = platform_server::start(MemoryPlatform::default()).await.into_diagnostic()?;
-    let mut standins = Vec::new();
-    let mut runners = Vec::new();
-    for _domain in RUNNER_DOMAINS {
-        let runner = StandinRunner::new(RunnerOptions::default());
-        standins.push(runner.start().await.into_diagnostic()?);
-        runners.push(runner);
-    }
-    let addresses: Vec<SocketAddr> = standins.iter().map(|standin| standin.address).collect();
     let keys = DemoKeys::issue()?;
-    let document = document::build_document(
-        &keys.teams.iter().map(CallerKey::digest).collect::<Vec<_>>(),
-        keys.operator.digest(),
-        &addresses,
-        None,
-    )
-    .into_diagnostic()?;
-    let table = dotterellane_platform::http::table(platform.address);
     let mut daemons = Vec::new();
-    for index in 0..DAEMONS {
-        let host = format!("host-{}", index + 1).parse().into_diagnostic()?;
-        let limits = EntryLimits { shutdown_lag: SHUTDOWN_LAG, ..EntryLimits::default() };
-        let ports = connect_ports(&document, &runners, &addresses)?;
-        let context = EntryContext::new(ports, table.clone(), host).with_limits(limits);
-        daemons.push(daemon::start(DaemonOptions { entry: LOOPBACK, context }).await?);
+    let secret: [u8; SECRET_BYTES] = random_secret();
+    for (index, domain) in DAEMON_DOMAINS.iter().enumerate() {
+        let node = NodeSettings {
+            host: format!("host-{}", index + 1).parse().into_diagnostic()?,
+            domain: domain.parse().into_diagnostic()?,
+            peers: LOOPBACK,
+            secret: secret.to_vec(),
+        };
+        daemons.push(daemon::start(daemon_options(node, platform.address)).await?);
     }
-    standins.push(platform);
-    let outline = keys.outline(&daemons, &addresses);
-    Ok(Demo { outline, daemons, _standins: standins })
+    accept_document(&daemons, keys.document(&upstreams)?).await?;
+    let outline = keys.outline(&daemons, &upstreams.addresses());
+    Ok(Demo { outline, daemons, _upstreams: upstreams, _platform: platform })
 }
 
 impl Demo {
@@ -103,29 +98,81 @@
     }
 }
 
-fn connect_ports(
-    document: &ConfigurationDocument,
-    runners: &[StandinRunner],
-    addresses: &[SocketAddr],
-) -> miette::Result<FleetPorts> {
-    let snapshot = ConfigurationSnapshot { version: ConfigVersion(1), document: document.clone() };
-    let ports = FleetPorts::new(boot_clock(), ConfigurationFeed::new(snapshot));
-    let mut local = Vec::new();
-    for (index, address) in addresses.iter().enumerate() {
-        let runner = format!("runner-{}", index + 1).parse().into_diagnostic()?;
-        local.push(LocalRunner { runner, address: *address });
+/// Stand-in runners and the stand-in service.
+struct StandinUpstreams {
+    runners: Vec<StandinServer>,
+    service: PlainService,
+}
+
+impl StandinUpstreams {
+    async fn start() -> miette::Result<Self> {
+        let store = WeightStore::new();
+        let mut runners = Vec::new();
+        for (index, _domain) in RUNNER_DOMAINS.iter().enumerate() {
+            let engine = EngineOptions {
+                memory: document::RUNNER_MEMORY,
+                honours_fencing: document::honours_fencing(index),
+                ..EngineOptions::default()
+            };
+            let runner = StandinRunner::new(RunnerOptions::default());
+            let runner = runner.with_engine(engine, store.clone());
+            runners.push(runner.start().await.into_diagnostic()?);
+        }
+        Ok(Self { runners, service: PlainService::start().await.into_diagnostic()? })
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.runners.iter().map(|runner| runner.address).collect()
+    }
+}
+
+fn daemon_options(node: NodeSettings, platform: SocketAddr) -> DaemonOptions {
+    DaemonOptions {
+        entry: LOOPBACK,
+        admin: AdminOptions { listen: LOOPBACK, tls: None, first_operator: None },
+        node,
+        platform: NodePlatform {
+            table: http::table(platform),
+            objects: http::objects(platform),
+            hosts: http::host_list(platform),
+        },
+        orders: Arc::new(|_runner, address| RunnerOrders::http(address)),
+        limits: EntryLimits { shutdown_lag: SHUTDOWN_LAG, ..EntryLimits::default() },
     }
-    let names: Vec<_> = local.iter().map(|runner| runner.runner.clone()).collect();
-    let runners = runners.to_vec();
-    Ok(with_local_dispatch(ports, local, move |name, model| {
-        let index = names.iter().position(|known| *known == name);
-        let runner = index.and_then(|index| runners.get(index)).cloned();
-        async move {
-            let Some(runner) = runner else { return false };
-            runner.state().loaded.entry(model.to_string()).or_default();
-            true
+}
+
+/// Has the fleet accept `document`, and waits until every daemon follows it.
+async fn accept_document(
+    daemons: &[DaemonHandle],
+    document: ConfigurationDocument,
+) -> miette::Result<()> {
+    let listed = |daemon: &DaemonHandle| daemon.members.borrow().serving().count() == DAEMONS;
+    wait_for("daemons to see each other", || daemons.iter().all(listed)).await?;
+    let first = daemons.first().ok_or_else(|| miette!("the demo has no daemon"))?;
+    let change = ProposedChange {
+        change: RequestId(rand::random()),
+        expected: ConfigVersion(0),
+        operator: "demo".parse().into_diagnostic()?,
+        summary: "first document of the demo".to_owned(),
+        document,
+    };
+    let version = first.administration.propose(change).await.into_diagnostic()?.version;
+    let in_force = |daemon: &DaemonHandle| daemon.administration.progress(version).in_force;
+    wait_for("the document to be in force", || daemons.iter().all(in_force)).await
+}
+
+async fn wait_for<C>(what: &str, condition: C) -> miette::Result<()>
+where
+    C: Fn() -> bool,
+{
+    let polled = async {
+        while !condition() {
+            tokio::time::sleep(POLL_PERIOD).await;
         }
-    }))
+    };
+    tokio::time::timeout(START_TIMEOUT, polled)
+        .await
+        .map_err(|_elapsed| miette!("waited {START_TIMEOUT:?} for {what}"))
 }
 
 /// Keys of the demo, new at each start.
@@ -144,6 +191,14 @@
         Ok(Self { teams, operator })
     }
 
+    fn document(&self, upstreams: &StandinUpstreams) -> miette::Result<ConfigurationDocument> {
+        let digests: Vec<String> = self.teams.iter().map(CallerKey::digest).collect();
+        let service = upstreams.service.address();
+        let operator = self.operator.digest();
+        document::build_document(&digests, operator, &upstreams.addresses(), service)
+            .into_diagnostic()
+    }
+
     fn outline(&self, daemons: &[DaemonHandle], engines: &[SocketAddr]) -> DemoOutline {
         let url = |address: &SocketAddr| format!("http://{address}");
         let names = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect();
@@ -153,12 +208,12 @@
         });
         DemoOutline {
             entries: daemons.iter().map(|daemon| url(&daemon.entry)).collect(),
-            console: String::new(),
+            console: daemons.first().map(|daemon| url(&daemon.admin())).unwrap_or_default(),
             operator_key: self.operator.expose().to_owned(),
             teams: teams.collect(),
             models: names(&MODELS.map(|(model, _)| model)),
             adapters: names(&ADAPTERS.map(|(adapter, _)| adapter)),
-            services: Vec::new(),
+            services: vec![SERVICE.to_owned()],
             engines: engines.iter().map(url).collect(),
         }
     }
--- a/crates/dotterellane/src/lib.rs
+++ b/crates/dotterellane/src/lib.rs
@@ -6,4 +6,6 @@
 pub mod demo;
 pub mod exit_codes;
 pub mod logging;
+pub mod overview;
+pub mod serve;
 pub mod signals;
--- a/crates/dotterellane/src/main.rs
+++ b/crates/dotterellane/src/main.rs
@@ -21,6 +21,8 @@
     logging::start(arguments.log_level, arguments.log_format)?;
     match &arguments.command {
         Command::Demo { json } => demo::run(*json),
+        Command::Serve { settings } => serve::run(settings),
+        Command::Operator(command) => commands::execute(command, &arguments.connection),
         Command::Operator(command) => commands::execute(command, &arguments.connection),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
