Find requests that crash every upstream that runs them

A request that crashes its runner is sent again by its caller, or by us, and takes one runner after another down. What was running at each crash is now intersected over the hosts; a request that two crashes name alone is quarantined, suspects of one crash are kept apart so that the second names one of them, and a suspect that runs to its end is cleared everywhere.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fairness;
 pub mod freshness;
 pub mod membership;
+pub mod quarantine;
 pub mod rendezvous;
 pub mod rounds;
 pub mod shares;
--- /dev/null
+++ b/crates/decisions/src/quarantine.rs
@@ -0,0 +1,183 @@
+//! Finds requests that crash every upstream that runs them.
+//!
+//! What was running at each crash is intersected over all hosts. A request that was running at two
+//! crashes, and that no other such request shares a crash with, is quarantined. Suspects of a first
+//! crash are kept apart from each other, so that a second crash names one of them.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use dotterellane_units::{ClockInstant, UpstreamId};
+
+pub use dotterellane_protocol::quarantine::{
+    CrashReport, MAX_REPORT_FINGERPRINTS, RequestFingerprint,
+};
+
+/// Reports of one upstream within this time are of one crash.
+pub const CRASH_WINDOW: Duration = Duration::from_secs(5);
+
+/// Time after which a crash is forgotten.
+pub const CRASH_MEMORY: Duration = Duration::from_secs(3_600);
+
+/// Largest number of crashes remembered; the oldest goes first.
+pub const MAX_CRASHES: usize = 256;
+
+/// Number of crashes after which a request is quarantined.
+const CRASHES_TO_QUARANTINE: usize = 2;
+
+#[derive(Clone, Debug)]
+struct CrashRecord {
+    runner: UpstreamId,
+    at: ClockInstant,
+    suspects: BTreeSet<RequestFingerprint>,
+}
+
+/// Crashes that this host knows of, and what it runs where.
+#[derive(Clone, Debug, Default)]
+pub struct CrashMachine {
+    crashes: Vec<CrashRecord>,
+    flights: HashMap<UpstreamId, HashMap<RequestFingerprint, u32>>,
+}
+
+impl CrashMachine {
+    /// Notes that a request starts at `runner`; refuses a suspect beside another one, or twice.
+    pub fn enter(
+        &mut self,
+        now: ClockInstant,
+        fingerprint: RequestFingerprint,
+        runner: &UpstreamId,
+    ) -> bool {
+        self.forget(now);
+        if self.is_suspect(fingerprint) && self.must_wait(fingerprint, runner) {
+            return false;
+        }
+        let flights = self.flights.entry(runner.clone()).or_default();
+        *flights.entry(fingerprint).or_default() += 1;
+        true
+    }
+
+    /// Notes that a request left `runner` without having run to its end.
+    pub fn left(&mut self, fingerprint: RequestFingerprint, runner: &UpstreamId) {
+        let Some(flights) = self.flights.get_mut(runner) else { return };
+        if let Some(count) = flights.get_mut(&fingerprint) {
+            *count -= 1;
+            if *count == 0 {
+                flights.remove(&fingerprint);
+            }
+        }
+        if flights.is_empty() {
+            self.flights.remove(runner);
+        }
+    }
+
+    /// Notes that a request ran to its end; returns what to tell the other hosts if it was suspect.
+    pub fn completed(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        runner: &UpstreamId,
+    ) -> Option<CrashReport> {
+        self.left(fingerprint, runner);
+        let suspect = self.is_suspect(fingerprint);
+        self.clear(fingerprint);
+        suspect.then_some(CrashReport::Cleared { fingerprint })
+    }
+
+    /// Notes that `runner` crashed under a request; returns what to tell the other hosts.
+    pub fn crashed(
+        &mut self,
+        now: ClockInstant,
+        fingerprint: RequestFingerprint,
+        runner: &UpstreamId,
+    ) -> Vec<CrashReport> {
+        let mut running = BTreeSet::from([fingerprint]);
+        if let Some(flights) = self.flights.get(runner) {
+            running.extend(flights.keys());
+        }
+        let fresh = self.add_suspects(now, runner, running);
+        let parts = fresh.chunks(MAX_REPORT_FINGERPRINTS);
+        parts
+            .map(|part| CrashReport::Crashed { runner: runner.clone(), suspects: part.to_vec() })
+            .collect()
+    }
+
+    /// Takes a report of another host.
+    pub fn absorb(&mut self, now: ClockInstant, report: &CrashReport) {
+        match report {
+            CrashReport::Crashed { runner, suspects } => {
+                self.add_suspects(now, runner, suspects.iter().copied().collect());
+            }
+            CrashReport::Cleared { fingerprint } => self.clear(*fingerprint),
+        }
+    }
+
+    /// Tells whether a request is to be refused.
+    pub fn is_quarantined(&mut self, now: ClockInstant, fingerprint: RequestFingerprint) -> bool {
+        self.forget(now);
+        if self.crash_count(fingerprint) < CRASHES_TO_QUARANTINE {
+            return false;
+        }
+        let mut crashes = self.crashes.iter();
+        crashes
+            .any(|crash| crash.suspects.contains(&fingerprint) && self.is_only(fingerprint, crash))
+    }
+
+    /// Returns the number of requests that are quarantined.
+    pub fn quarantined_count(&mut self, now: ClockInstant) -> usize {
+        let all: BTreeSet<_> =
+            self.crashes.iter().flat_map(|crash| crash.suspects.iter().copied()).collect();
+        all.into_iter().filter(|fingerprint| self.is_quarantined(now, *fingerprint)).count()
+    }
+
+    fn is_only(&self, fingerprint: RequestFingerprint, crash: &CrashRecord) -> bool {
+        let mut others = crash.suspects.iter().filter(|other| **other != fingerprint);
+        others.all(|other| self.crash_count(*other) < CRASHES_TO_QUARANTINE)
+    }
+
+    fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
+        self.crash_count(fingerprint) > 0
+    }
+
+    fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
+        self.crashes.iter().filter(|crash| crash.suspects.contains(&fingerprint)).count()
+    }
+
+    fn must_wait(&self, fingerprint: RequestFingerprint, runner: &UpstreamId) -> bool {
+        let runs = self.flights.values().any(|flights| flights.contains_key(&fingerprint));
+        let beside = self.flights.get(runner);
+        runs || beside.is_some_and(|flights| flights.keys().any(|other| self.is_suspect(*other)))
+    }
+
+    /// Adds suspects to the crash of `runner`; returns those that were not known.
+    fn add_suspects(
+        &mut self,
+        now: ClockInstant,
+        runner: &UpstreamId,
+        suspects: BTreeSet<RequestFingerprint>,
+    ) -> Vec<RequestFingerprint> {
+        self.forget(now);
+        let recent = |crash: &&mut CrashRecord| {
+            crash.runner == *runner && now.since(crash.at) < CRASH_WINDOW
+        };
+        if let Some(crash) = self.crashes.iter_mut().rev().find(recent) {
+            let fresh: Vec<_> = suspects.difference(&crash.suspects).copied().collect();
+            crash.suspects.extend(fresh.iter().copied());
+            return fresh;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        let fresh = suspects.iter().copied().collect();
+        self.crashes.push(CrashRecord { runner: runner.clone(), at: now, suspects });
+        fresh
+    }
+
+    fn clear(&mut self, fingerprint: RequestFingerprint) {
+        for crash in &mut self.crashes {
+            crash.suspects.remove(&fingerprint);
+        }
+    }
+
+    fn forget(&mut self, now: ClockInstant) {
+        self.crashes.retain(|crash| now.since(crash.at) < CRASH_MEMORY);
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod envelope;
 pub mod gossip;
 pub mod placement;
+pub mod quarantine;
 pub mod shares;
 
 use serde::{Deserialize, Serialize};
