--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -1,7 +1,7 @@
 //! What is settled before anything of a request is sent upstream.
 
 use dotterellane_fleet::{ChargeRequest, FreshnessState, PermitRequest};
-use dotterellane_units::UpstreamId;
+use dotterellane_units::{TeamId, UpstreamId};
 use tokio::time::timeout;
 
 use crate::completion::CompletionCall;
@@ -29,29 +29,20 @@
 /// Refuses if the team's share does not allow it in time.
 pub async fn charge_team(
     context: &EntryContext,
-    call: &CompletionCall,
+    charge: ChargeRequest,
 ) -> Result<ChargeHold, EntryRefusal> {
-    let charge = ChargeRequest {
-        request: call.request,
-        team: call.team.clone(),
-        tokens: call.charged(),
-        deadline: call.deadline,
-    };
-    let charging = context.ports.charge(charge);
-    match timeout(context.time_left(call.deadline), charging).await {
+    let team = charge.team.clone();
+    let time_left = context.time_left(charge.deadline);
+    match timeout(time_left, context.ports.charge(charge)).await {
         Ok(Ok(receipt)) => Ok(ChargeHold::new(context.ports.clone(), receipt)),
-        Ok(Err(refusal)) => Err(with_burst(refusal.into(), context, call)),
+        Ok(Err(refusal)) => Err(with_burst(refusal.into(), context, &team)),
         Err(_) => Err(deadline_exceeded()),
     }
 }
 
-fn with_burst(
-    mut refusal: EntryRefusal,
-    context: &EntryContext,
-    call: &CompletionCall,
-) -> EntryRefusal {
+fn with_burst(mut refusal: EntryRefusal, context: &EntryContext, team: &TeamId) -> EntryRefusal {
     let snapshot = context.ports.configuration.current();
-    refusal.burst = snapshot.document.teams.get(&call.team).map(|team| team.burst);
+    refusal.burst = snapshot.document.teams.get(team).map(|team| team.burst);
     refusal
 }
 
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -2,22 +2,25 @@
 
 use std::sync::Arc;
 
-use dotterellane_fleet::{ConfigurationSnapshot, FreshnessState};
+use dotterellane_fleet::{ChargeRequest, ConfigurationSnapshot, FreshnessState};
 use dotterellane_units::RequestId;
 use http::request::Parts;
-use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::admission::{charge_team, check_freshness};
 use crate::attempt::{AttemptLog, open_answer};
 use crate::body::{EntryBody, read_body};
 use crate::completion::{CompletionCall, CompletionKind, read_completion};
-use crate::context::SharedContext;
+use crate::context::{EntryContext, SharedContext};
+use crate::crashes::check_quarantine;
 use crate::headers::{runner_answer_headers, runner_headers};
-use crate::keys::{CallerIdentity, check_key, contains_key};
+use crate::key_watch::while_key_valid;
+use crate::keys::{CallerIdentity, check_key, refuse_keys};
 use crate::models::list_models;
 use crate::refusal::{EntryRefusal, RefusalKind};
 use crate::relay::{RelayBody, is_event_stream};
+use crate::services::{ServicePath, call_service};
 use crate::whole::answer_whole;
 
 /// Header with the request id, as the caller named it or as the daemon did.
@@ -32,6 +35,7 @@
     Completion(CompletionKind),
     Models,
     Model(String),
+    Service(ServicePath),
     Alive,
     Ready,
 }
@@ -64,7 +68,7 @@
     let (head, body) = request.into_parts();
     match find_route(&head)? {
         EntryRoute::Alive => Ok(health(StatusCode::OK)),
-        EntryRoute::Ready => Ok(readiness(&context)),
+        EntryRoute::Ready => Ok(health(readiness(&context))),
         EntryRoute::Models => {
             let (identity, snapshot) = identify(&context, &head)?;
             Ok(list_models(&identity.team, &snapshot.document))
@@ -74,11 +78,15 @@
             crate::models::show_model(&name, &identity.team, &snapshot.document)
         }
         EntryRoute::Completion(kind) => complete(context, id, kind, head, body).await,
+        EntryRoute::Service(path) => call_service(context, id, path, head, body).await,
     }
 }
 
 fn find_route(head: &Parts) -> Result<EntryRoute, EntryRefusal> {
     let path = head.uri.path();
+    if let Some(path) = ServicePath::parse(&head.uri) {
+        return Ok(EntryRoute::Service(path));
+    }
     let (route, method) = match path {
         "/v1/chat/completions" => (EntryRoute::Completion(CompletionKind::Chat), Method::POST),
         "/v1/completions" => (EntryRoute::Completion(CompletionKind::Text), Method::POST),
@@ -107,16 +115,17 @@
     response
 }
 
-fn readiness(context: &SharedContext) -> Response<EntryBody> {
-    match context.ports.freshness() {
-        FreshnessState::Fresh => health(StatusCode::OK),
-        FreshnessState::Stale => health(StatusCode::SERVICE_UNAVAILABLE),
+/// Tells the balancer whether this host takes new requests.
+fn readiness(context: &EntryContext) -> StatusCode {
+    if context.leaving.is_cancelled() || context.ports.freshness() == FreshnessState::Stale {
+        return StatusCode::SERVICE_UNAVAILABLE;
     }
+    StatusCode::OK
 }
 
 /// Finds the caller under a configuration that is known to be the newest.
-fn identify(
-    context: &SharedContext,
+pub(crate) fn identify(
+    context: &EntryContext,
     head: &Parts,
 ) -> Result<(CallerIdentity, Arc<ConfigurationSnapshot>), EntryRefusal> {
     check_freshness(context)?;
@@ -138,37 +147,41 @@
     let (_, snapshot) = identify(&context, &head)?;
     let now = context.ports.clock.now();
     let call = read_completion(kind, id, identity, &content, &snapshot.document, now)?;
-    refuse_keys(&call, &snapshot)?;
-    run_completion(context, Arc::new(call), &head).await
-}
-
-/// Refuses a body that would show a caller's key to an upstream.
-fn refuse_keys(
-    call: &CompletionCall,
-    snapshot: &ConfigurationSnapshot,
-) -> Result<(), EntryRefusal> {
-    if !contains_key(&call.body, &snapshot.document) {
-        return Ok(());
-    }
-    let message = "the body contains a caller's key, which must not reach an upstream";
-    Err(EntryRefusal::before_sending(RefusalKind::Unprocessable, message))
+    let headers = runner_headers(&head.headers);
+    refuse_keys(&[&call.body], &headers, &snapshot.document)?;
+    run_completion(context, Arc::new(call), headers).await
 }
 
 async fn run_completion(
     context: SharedContext,
     call: Arc<CompletionCall>,
-    head: &Parts,
+    headers: HeaderMap,
 ) -> Result<Response<EntryBody>, EntryRefusal> {
-    let headers = runner_headers(&head.headers);
-    let mut charge = charge_team(&context, &call).await?;
+    let identity = CallerIdentity { key: call.key.clone(), team: call.team.clone() };
     let mut log = AttemptLog::default();
-    let open = open_answer(&context, &call, &headers, &mut log, 0).await?;
-    if call.streamed && is_event_stream(&open) {
-        let answer_headers = runner_answer_headers(&open.answer.headers);
-        let relay = RelayBody::new(context, call, headers, charge, log, open);
-        let mut response = Response::new(EntryBody::Relayed(Box::new(relay)));
-        *response.headers_mut() = answer_headers;
-        return Ok(response);
+    let reached = log.reached.clone();
+    let shared = context.clone();
+    let work = async move {
+        check_quarantine(&context, &call, false)?;
+        let mut charge = charge_team(&context, completion_charge(&call)).await?;
+        let open = open_answer(&context, &call, &headers, &mut log, 0).await?;
+        if call.streamed && is_event_stream(&open) {
+            let answer_headers = runner_answer_headers(&open.answer.headers);
+            let relay = RelayBody::new(context, call, headers, charge, log, open);
+            let mut response = Response::new(EntryBody::Relayed(relay));
+            *response.headers_mut() = answer_headers;
+            return Ok(response);
+        }
+        answer_whole(&context, &call, &headers, &mut charge, &mut log, open).await
+    };
+    while_key_valid(&shared, &identity, &reached, work).await
+}
+
+fn completion_charge(call: &CompletionCall) -> ChargeRequest {
+    ChargeRequest {
+        request: call.request,
+        team: call.team.clone(),
+        tokens: call.charged(),
+        deadline: call.deadline,
     }
-    answer_whole(&context, &call, &headers, &mut charge, &mut log, open).await
 }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,5 +1,7 @@
 //! Attempts of one request at one runner after another.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use dotterellane_fleet::CallOutcome;
@@ -11,6 +13,9 @@
 use crate::admission::{PermitTarget, deadline_exceeded, take_permit};
 use crate::completion::CompletionCall;
 use crate::context::EntryContext;
+use crate::crashes::{
+    FlightHold, check_quarantine, enter_flight, report_break, wait_for_isolation,
+};
 use crate::headers::{PRIORITY, RESUME_FROM};
 use crate::holds::PermitHold;
 use crate::refusal::{EntryRefusal, RefusalKind};
@@ -18,13 +23,28 @@
 /// Longest pause before the second attempt; doubled for each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
+/// Whether an upstream may have run a part of a request; seen also by who cancels it.
+#[derive(Clone, Debug, Default)]
+pub struct ReachFlag(Arc<AtomicBool>);
+
+impl ReachFlag {
+    /// Reads the flag.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set(&self, reached: bool) {
+        self.0.store(reached, Ordering::Relaxed);
+    }
+}
+
 /// What has become of a request so far.
 #[derive(Clone, Debug, Default)]
 pub struct AttemptLog {
     /// Runners that failed it.
     pub excluded: Vec<UpstreamId>,
     /// Whether an upstream may have run a part of it.
-    pub reached: bool,
+    pub reached: ReachFlag,
     /// Attempts made.
     pub count: u32,
 }
@@ -36,8 +56,8 @@
     pub answer: OpenAnswer,
     /// Permit.
     pub permit: PermitHold,
-    /// Runner that answers.
-    pub runner: UpstreamId,
+    /// Its time at the runner.
+    pub flight: FlightHold,
 }
 
 /// Calls one runner after another until one begins to answer.
@@ -52,41 +72,72 @@
     resume_from: u64,
 ) -> Result<OpenCall, EntryRefusal> {
     loop {
-        let taken = take_permit(context, call, &log.excluded).await;
-        let (target, permit) = taken.map_err(|refusal| refusal.with_reached(log.reached))?;
+        let (target, permit, flight) = take_place(context, call, log).await?;
         log.count += 1;
         let request = build_call(context, call, headers, &target, resume_from);
-        let failure = match send_call(&context.pool, &request).await {
+        let reached_before = log.reached.get();
+        log.reached.set(true);
+        let sent = send_call(&context.pool, &request).await;
+        // A connection that lost its way says nothing of the runner behind it.
+        let lost = matches!(&sent, Err(error) if error.fault == CallFault::Silent && error.reused);
+        let failure = match sent {
             Ok(answer) if answer.says_not_run() => {
+                log.reached.set(reached_before);
                 permit.finish(CallOutcome::Refused);
                 not_run_refusal(&answer)
             }
             Ok(answer) if answer.status.is_server_error() => {
-                log.reached = true;
                 permit.finish(CallOutcome::Broken);
-                upstream_failed(format!("{} answered {}", target.runner, answer.status))
-            }
-            Ok(answer) => {
-                log.reached = true;
-                return Ok(OpenCall { answer, permit, runner: target.runner });
+                upstream_failed(&format!("{} answered {}", target.runner, answer.status))
             }
+            Ok(answer) => return Ok(OpenCall { answer, permit, flight }),
             Err(error) => {
-                log.reached |= error.reached;
+                log.reached.set(reached_before || error.reached);
                 permit.finish(outcome_of(&error));
-                upstream_failed(error.to_string())
+                report_break(context, flight, error.fault).await;
+                upstream_failed(&error.to_string())
             }
         };
-        log.excluded.push(target.runner);
+        if !lost {
+            log.excluded.push(target.runner);
+        }
         pause_before_retry(context, call, log, failure).await?;
     }
 }
 
+/// Takes a permit for a runner that the request may go to.
+async fn take_place(
+    context: &EntryContext,
+    call: &CompletionCall,
+    log: &AttemptLog,
+) -> Result<(PermitTarget, PermitHold, FlightHold), EntryRefusal> {
+    let reached = log.reached.get();
+    let mut avoided = Vec::new();
+    loop {
+        check_quarantine(context, call, reached)?;
+        let excluded = [log.excluded.as_slice(), avoided.as_slice()].concat();
+        let (target, permit) = match take_permit(context, call, &excluded).await {
+            Ok(taken) => taken,
+            Err(_) if !avoided.is_empty() => {
+                // Every other runner is taken by a suspect too; one of them leaves sooner or later.
+                avoided.clear();
+                wait_for_isolation(context, call, reached).await?;
+                continue;
+            }
+            Err(refusal) => return Err(refusal.with_reached(reached)),
+        };
+        if let Some(flight) = enter_flight(context, call, &target.runner, target.address) {
+            return Ok((target, permit, flight));
+        }
+        avoided.push(target.runner);
+    }
+}
+
 fn outcome_of(error: &CallError) -> CallOutcome {
-    match error.fault {
-        CallFault::Connect => CallOutcome::Broken,
-        _ if error.reached => CallOutcome::Broken,
-        _ => CallOutcome::Refused,
+    if error.reached || error.fault == CallFault::Connect {
+        return CallOutcome::Broken;
     }
+    CallOutcome::Refused
 }
 
 /// Ends the attempts with `failure`, or waits a little before the next.
@@ -97,12 +148,12 @@
     failure: EntryRefusal,
 ) -> Result<(), EntryRefusal> {
     if log.count >= context.limits.attempts {
-        return Err(failure.with_reached(log.reached));
+        return Err(failure.with_reached(log.reached.get()));
     }
     let longest = RETRY_PAUSE * 2_u32.saturating_pow(log.count.saturating_sub(1));
     let pause = longest.mul_f64(rand::rng().random_range(0.0..1.0));
     if context.time_left(call.deadline) <= pause {
-        return Err(deadline_exceeded().with_reached(log.reached));
+        return Err(deadline_exceeded().with_reached(log.reached.get()));
     }
     tokio::time::sleep(pause).await;
     Ok(())
@@ -150,7 +201,7 @@
     refusal.with_retry_after(Duration::from_secs(seconds))
 }
 
-fn upstream_failed(cause: String) -> EntryRefusal {
+fn upstream_failed(cause: &str) -> EntryRefusal {
     spdlog::debug!("upstream call failed: {}", cause);
     let message = "no upstream gave a whole answer";
     EntryRefusal::before_sending(RefusalKind::UpstreamFailed, message)
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -29,7 +29,7 @@
     /// All of it is here.
     Whole(Full<Bytes>),
     /// It is relayed as it comes.
-    Relayed(Box<RelayBody>),
+    Relayed(RelayBody),
 }
 
 impl EntryBody {
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -1,6 +1,7 @@
 //! What a request to a model asks for.
 
 use bytes::Bytes;
+use dotterellane_decisions::quarantine::RequestFingerprint;
 use dotterellane_settings::document::{CallerScope, ConfigurationDocument, ModelEntry};
 use dotterellane_units::{AdapterId, ClockInstant, KeyId, ModelId, RequestId, TeamId, TokenCount};
 use serde_json::{Map, Value, json};
@@ -78,6 +79,8 @@
     pub output: TokenCount,
     /// Hashes of the prompt's leading blocks.
     pub prefix: Vec<u64>,
+    /// Tells this request from others, at every host.
+    pub fingerprint: RequestFingerprint,
     /// When the caller must have been answered.
     pub deadline: ClockInstant,
 }
@@ -159,6 +162,7 @@
         ask_for_usage(&mut fields)?;
     }
     let body = serde_json::to_vec(&fields).map_err(|error| malformed(&error.to_string()))?;
+    let fingerprint = crate::crashes::fingerprint(kind.path(), &body);
     Ok(CompletionCall {
         request,
         key: identity.key,
@@ -171,6 +175,7 @@
         prompt: prompt_text.tokens(),
         output,
         prefix: prompt_text.prefix(),
+        fingerprint,
         deadline: now + target.entry.deadline_seconds,
     })
 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -7,6 +7,12 @@
 use dotterellane_platform::PlatformTable;
 use dotterellane_units::{ByteSize, ClockInstant, HostId};
 use dotterellane_upstream::UpstreamPool;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::crashes::CrashWatch;
+use crate::streams::OpenStreams;
+use crate::tls::TlsIdentity;
 
 /// Bounds on what one caller or upstream can take.
 #[derive(Clone, Copy, Debug)]
@@ -66,6 +72,16 @@
     pub limits: EntryLimits,
     /// Connections to upstreams.
     pub pool: UpstreamPool,
+    /// Streams that are open.
+    pub streams: OpenStreams,
+    /// Requests that may crash upstreams.
+    pub crashes: CrashWatch,
+    /// Certificate; plain HTTP without it.
+    pub tls: Option<TlsIdentity>,
+    /// Cancelled once the host is leaving and the balancer must send nothing new.
+    pub leaving: CancellationToken,
+    /// Work that goes on when its caller has left, and that a shutdown waits for.
+    pub tasks: TaskTracker,
     /// Returns the seconds since the Unix epoch; keys expire by it.
     pub epoch_seconds: fn() -> u64,
 }
@@ -79,6 +95,11 @@
             host,
             limits: EntryLimits::default(),
             pool: UpstreamPool::default(),
+            streams: OpenStreams::default(),
+            crashes: CrashWatch::default(),
+            tls: None,
+            leaving: CancellationToken::new(),
+            tasks: TaskTracker::new(),
             epoch_seconds: system_epoch_seconds,
         }
     }
@@ -90,6 +111,20 @@
         self
     }
 
+    /// Sets the certificate.
+    #[must_use]
+    pub fn with_tls(mut self, tls: TlsIdentity) -> Self {
+        self.tls = Some(tls);
+        self
+    }
+
+    /// Sets how crashes seen here reach the other hosts.
+    #[must_use]
+    pub fn with_crashes(mut self, crashes: CrashWatch) -> Self {
+        self.crashes = crashes;
+        self
+    }
+
     /// Returns the time left until `deadline`.
     pub fn time_left(&self, deadline: ClockInstant) -> Duration {
         deadline.since(self.ports.clock.now())
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -12,6 +12,43 @@
 
 const FROM_RUNNERS: [HeaderName; 2] = [header::CONTENT_TYPE, header::CACHE_CONTROL];
 
+const TO_SERVICES: [HeaderName; 9] = [
+    header::ACCEPT,
+    header::ACCEPT_LANGUAGE,
+    header::CONTENT_ENCODING,
+    header::CONTENT_LANGUAGE,
+    header::CONTENT_TYPE,
+    header::IF_MATCH,
+    header::IF_MODIFIED_SINCE,
+    header::IF_NONE_MATCH,
+    header::RANGE,
+];
+
+const FROM_SERVICES: [HeaderName; 12] = [
+    header::CACHE_CONTROL,
+    header::CONTENT_DISPOSITION,
+    header::CONTENT_ENCODING,
+    header::CONTENT_LANGUAGE,
+    header::CONTENT_RANGE,
+    header::CONTENT_TYPE,
+    header::ETAG,
+    header::EXPIRES,
+    header::LAST_MODIFIED,
+    header::LOCATION,
+    header::RETRY_AFTER,
+    header::VARY,
+];
+
+/// Returns the caller's headers that a service may see.
+pub fn service_headers(from_caller: &HeaderMap) -> HeaderMap {
+    pick(from_caller, &TO_SERVICES)
+}
+
+/// Returns a service's headers that the caller may see.
+pub fn service_answer_headers(from_service: &HeaderMap) -> HeaderMap {
+    pick(from_service, &FROM_SERVICES)
+}
+
 /// Returns the caller's headers that a runner may see.
 pub fn runner_headers(from_caller: &HeaderMap) -> HeaderMap {
     let mut headers = pick(from_caller, &TO_RUNNERS);
@@ -24,7 +61,7 @@
     pick(from_runner, &FROM_RUNNERS)
 }
 
-pub(crate) fn pick(from: &HeaderMap, allowed: &[HeaderName]) -> HeaderMap {
+fn pick(from: &HeaderMap, allowed: &[HeaderName]) -> HeaderMap {
     let mut picked = HeaderMap::with_capacity(allowed.len() + 4);
     for name in allowed {
         for value in from.get_all(name) {
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -2,8 +2,8 @@
 
 use dotterellane_settings::document::{ConfigurationDocument, KeyEntry};
 use dotterellane_units::{KeyId, TeamId};
-use http::HeaderMap;
 use http::header::AUTHORIZATION;
+use http::{HeaderMap, HeaderValue};
 use subtle::ConstantTimeEq;
 
 use crate::refusal::{EntryRefusal, RefusalKind};
@@ -67,6 +67,23 @@
     })
 }
 
+/// Refuses a request whose forwarded parts would show a caller's key to an upstream.
+///
+/// # Errors
+/// Refuses if a part contains a key of the configuration.
+pub fn refuse_keys(
+    parts: &[&[u8]],
+    headers: &HeaderMap,
+    document: &ConfigurationDocument,
+) -> Result<(), EntryRefusal> {
+    let mut values = headers.values().map(HeaderValue::as_bytes).chain(parts.iter().copied());
+    if !values.any(|part| contains_key(part, document)) {
+        return Ok(());
+    }
+    let message = "a caller's key may stand in the Authorization header alone";
+    Err(EntryRefusal::before_sending(RefusalKind::Unprocessable, message))
+}
+
 fn is_key_byte(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b':')
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,15 +10,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 use crate::answer::answer_request;
 use crate::context::{EntryContext, SharedContext};
+use crate::stall::StallGuard;
+use crate::streams::sweep_streams;
+use crate::tls::TlsIdentity;
 
 /// Streams that one HTTP/2 connection may have open.
 const MAX_STREAMS_PER_CONNECTION: u32 = 1_000;
@@ -30,22 +31,10 @@
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Why a server ended.
-#[derive(Debug, Error)]
-#[error("{step} on {address}: {source}")]
-pub struct ServeError {
-    /// What was being done.
-    pub step: &'static str,
-    /// Address of the server.
-    pub address: SocketAddr,
-    /// What was seen.
-    pub source: io::Error,
-}
-
 /// Serves callers until `shutdown`, then for the balancer's lag, then until every answer is whole.
 ///
 /// # Errors
-/// Fails if the listener has no address.
+/// Fails if the listener cannot be used.
 pub async fn serve(
     listener: TcpListener,
     context: EntryContext,
@@ -53,34 +42,50 @@
 ) -> io::Result<()> {
     let context = Arc::new(context);
     let closing = CancellationToken::new();
-    let tasks = TaskTracker::new();
+    let ended = CancellationToken::new();
+    let _end_guard = ended.clone().drop_guard();
+    tokio::spawn(sweep_streams(context.clone(), ended.clone()));
+    if let Some(tls) = &context.tls {
+        tokio::spawn(tls.clone().follow_files(ended.clone()));
+    }
+    accept_until_leaving(&listener, &context, &closing, &shutdown).await?;
+    drop(listener);
+    closing.cancel();
+    context.tasks.close();
+    context.tasks.wait().await;
+    Ok(())
+}
+
+async fn accept_until_leaving(
+    listener: &TcpListener,
+    context: &SharedContext,
+    closing: &CancellationToken,
+    shutdown: &CancellationToken,
+) -> io::Result<()> {
     let places = Arc::new(Semaphore::new(context.limits.connections));
-    let lag = context.limits.shutdown_lag;
-    let stop = async {
+    let left = async {
         shutdown.cancelled().await;
-        tokio::time::sleep(lag).await;
+        context.leaving.cancel();
+        // The balancer's list of hosts lags; callers still come meanwhile.
+        tokio::time::sleep(context.limits.shutdown_lag).await;
     };
-    let mut stop = pin!(stop);
+    let mut left = pin!(left);
     loop {
         let place = tokio::select! {
             place = places.clone().acquire_owned() => place.map_err(io::Error::other)?,
-            () = &mut stop => break,
+            () = &mut left => return Ok(()),
         };
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    tasks.spawn(serve_stream(stream, context.clone(), closing.clone(), place));
+                    let served = serve_stream(stream, context.clone(), closing.clone(), place);
+                    context.tasks.spawn(served);
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
-            () = &mut stop => break,
+            () = &mut left => return Ok(()),
         }
     }
-    drop(listener);
-    closing.cancel();
-    tasks.close();
-    tasks.wait().await;
-    Ok(())
 }
 
 async fn serve_stream(
@@ -89,8 +94,18 @@
     closing: CancellationToken,
     place: OwnedSemaphorePermit,
 ) {
-    if bound_silence(&stream).is_ok() {
-        serve_connection(stream, context, closing).await;
+    if bound_silence(&stream).is_err() {
+        return;
+    }
+    let stream = StallGuard::new(stream, context.limits.write_stall);
+    match context.tls.as_ref().map(TlsIdentity::acceptor) {
+        None => serve_connection(stream, context, closing).await,
+        Some(acceptor) => {
+            let accepting = timeout(context.limits.head_read, acceptor.accept(stream));
+            if let Ok(Ok(stream)) = accepting.await {
+                serve_connection(stream, context, closing).await;
+            }
+        }
     }
     drop(place);
 }
--- a/crates/entry/src/whole.rs
+++ b/crates/entry/src/whole.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use dotterellane_fleet::CallOutcome;
 use dotterellane_units::TokenCount;
+use dotterellane_upstream::CallFault;
 use http::{HeaderMap, Response};
 use tokio::time::timeout;
 
@@ -11,6 +12,7 @@
 use crate::body::{BoundedBuffer, EntryBody};
 use crate::completion::CompletionCall;
 use crate::context::EntryContext;
+use crate::crashes::report_break;
 use crate::events::TokenUsage;
 use crate::headers::runner_answer_headers;
 use crate::holds::ChargeHold;
@@ -35,15 +37,17 @@
             return Err(deadline_exceeded().with_reached(true));
         };
         match read {
-            Some(content) => {
+            Ok(content) => {
                 settle(charge, call, &open, &content);
                 let head = (open.answer.status, runner_answer_headers(&open.answer.headers));
                 open.permit.finish(CallOutcome::Answered);
+                open.flight.completed();
                 return Ok(build_answer(head, content));
             }
-            None => {
+            Err(fault) => {
                 open.permit.finish(CallOutcome::Broken);
-                log.excluded.push(open.runner);
+                log.excluded.push(open.flight.runner().clone());
+                report_break(context, open.flight, fault).await;
             }
         }
         if log.count >= context.limits.attempts {
@@ -55,13 +59,14 @@
     }
 }
 
-async fn read_whole(context: &EntryContext, open: &mut OpenCall) -> Option<Bytes> {
+async fn read_whole(context: &EntryContext, open: &mut OpenCall) -> Result<Bytes, CallFault> {
     let mut buffer = BoundedBuffer::new(context.limits.answer);
     loop {
         match open.answer.body.data().await {
             Ok(Some(data)) if buffer.push(&data) => (),
-            Ok(None) => return Some(buffer.freeze()),
-            Ok(Some(_)) | Err(_) => return None,
+            Ok(None) => return Ok(buffer.freeze()),
+            Ok(Some(_)) => return Err(CallFault::Crossed),
+            Err(error) => return Err(error.fault),
         }
     }
 }
--- /dev/null
+++ b/crates/entry/tests/answers.rs
@@ -0,0 +1,151 @@
+//! Whole answers: what callers see when upstreams answer rightly or wrongly.
+
+mod support;
+
+use dotterellane_fleet::CallOutcome;
+use dotterellane_standins::{FaultyRunner, RunnerFault};
+use googletest::prelude::*;
+use http::StatusCode;
+use support::{EntryEnvironment, whole_text};
+
+async fn runners(count: usize) -> Vec<FaultyRunner> {
+    let mut runners = Vec::new();
+    for _ in 0..count {
+        runners.push(FaultyRunner::start().await.expect("a runner"));
+    }
+    runners
+}
+
+async fn environment(runners: &[FaultyRunner]) -> EntryEnvironment {
+    let addresses: Vec<_> = runners.iter().map(FaultyRunner::address).collect();
+    EntryEnvironment::start(&addresses).await
+}
+
+#[gtest]
+#[tokio::test]
+async fn chat_whole() {
+    let runners = runners(1).await;
+    let entry = environment(&runners).await;
+    let answer = entry.chat(false, 5).await;
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_that!(answer.body, contains_substring(whole_text(5)));
+    entry.settled().await;
+    let fleet = entry.fleet.lock().expect("fleet");
+    // 3 prompt tokens and 5 of output, as the runner's usage says.
+    expect_that!(fleet.tokens_used, eq(8));
+    expect_that!(fleet.released.last().expect("a permit").1, eq(CallOutcome::Answered));
+}
+
+#[gtest]
+#[tokio::test]
+async fn chat_streamed() {
+    let runners = runners(1).await;
+    let entry = environment(&runners).await;
+    let answer = entry.chat(true, 50).await;
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_that!(answer.stream_text(), eq(&whole_text(50)));
+    expect_that!(answer.body, ends_with("data: [DONE]\n\n"));
+    entry.settled().await;
+    expect_that!(entry.fleet.lock().expect("fleet").tokens_used, eq(53));
+}
+
+#[gtest]
+#[tokio::test]
+async fn answer_wrong_from_first_runner() {
+    let faults = [
+        RunnerFault::Crossed,
+        RunnerFault::Short,
+        RunnerFault::DiesAfter(0),
+        RunnerFault::DiesAfter(7),
+        RunnerFault::Silent,
+        RunnerFault::SilentAfter(4),
+        RunnerFault::AnswerLost,
+        RunnerFault::NotRun,
+        RunnerFault::Long,
+    ];
+    for fault in faults {
+        let runners = runners(2).await;
+        runners[0].set_fault(fault.clone());
+        let entry = environment(&runners).await;
+        let answer = entry.chat(true, 20).await;
+        expect_that!(answer.stream_text(), eq(&whole_text(20)), "after {fault:?}");
+        expect_that!(answer.body, ends_with("data: [DONE]\n\n"), "after {fault:?}");
+        entry.settled().await;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn answer_wrong_from_every_runner() {
+    let faults = [
+        RunnerFault::Crossed,
+        RunnerFault::Short,
+        RunnerFault::DiesAfter(7),
+        RunnerFault::Silent,
+        RunnerFault::SilentAfter(4),
+        RunnerFault::AnswerLost,
+    ];
+    for fault in faults {
+        let runners = runners(3).await;
+        runners.iter().for_each(|runner| runner.set_fault(fault.clone()));
+        let entry = environment(&runners).await;
+        for streamed in [true, false] {
+            // Whole answers know no chunks to die after.
+            if !streamed && matches!(fault, RunnerFault::DiesAfter(_) | RunnerFault::SilentAfter(_))
+            {
+                continue;
+            }
+            let answer = entry.chat(streamed, 20).await;
+            let text = format!("{fault:?}, streamed {streamed}: {answer:?}");
+            expect_that!(answer.body, not(contains_substring("[DONE]")), "{text}");
+            expect_that!(answer.error_code(), not(eq("")), "{text}");
+            expect_that!(answer.says_not_run(), eq(false), "{text}");
+        }
+        entry.settled().await;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn excess_not_taken_for_next_answer() {
+    let runners = runners(1).await;
+    runners[0].set_fault(RunnerFault::Long);
+    let entry = environment(&runners).await;
+    for _ in 0..4 {
+        let answer = entry.chat(false, 3).await;
+        expect_that!(answer.status, eq(StatusCode::OK));
+        expect_that!(answer.body, contains_substring(whole_text(3)));
+        expect_that!(answer.body, not(contains_substring("other")));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn not_run_said_by_every_runner() {
+    let runners = runners(2).await;
+    runners.iter().for_each(|runner| runner.set_fault(RunnerFault::NotRun));
+    let entry = environment(&runners).await;
+    let answer = entry.chat(false, 3).await;
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(answer.says_not_run(), eq(true));
+    expect_that!(answer.headers.contains_key("retry-after"), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn connection_silent_when_reused() {
+    let runners = runners(1).await;
+    let entry = environment(&runners).await;
+    // Two connections end up in the pool, then both fall silent.
+    let pair = tokio::join!(entry.chat(true, 5), entry.chat(true, 5));
+    expect_that!(pair.0.stream_text(), eq(&pair.1.stream_text()));
+    runners[0].set_fault(RunnerFault::SilentWhenReused);
+    let answer = entry.chat(true, 5).await;
+    expect_that!(answer.stream_text(), eq(&whole_text(5)), "{answer:?}");
+    // The sibling was condemned with the connection that fell silent.
+    let answer = entry.chat(true, 5).await;
+    expect_that!(answer.stream_text(), eq(&whole_text(5)));
+    let seen = runners[0].seen();
+    let reused = seen.iter().filter(|request| request.connection < 2 && request.place > 0);
+    expect_that!(reused.count(), eq(1));
+}
--- a/crates/upstream/src/calls.rs
+++ b/crates/upstream/src/calls.rs
@@ -100,6 +100,8 @@
     pub cause: String,
     /// Whether a byte of the request may have reached the upstream.
     pub reached: bool,
+    /// Whether the connection had carried other calls before.
+    pub reused: bool,
 }
 
 /// The head of an answer, and its body to be read.
@@ -134,7 +136,8 @@
         let Ok(sent) = timeout(call.limits.first_byte, sending).await else {
             pool.condemn(call.address);
             let cause = format!("no answer within {:?}", call.limits.first_byte);
-            return Err(call_error(call, "await answer", CallFault::Silent, cause, true));
+            let error = call_error(call, "await answer", CallFault::Silent, cause, true);
+            return Err(CallError { reused: connection.reused, ..error });
         };
         let mut failure = match sent {
             Ok(response) => return accept_answer(pool, call, connection, response),
@@ -224,6 +227,7 @@
     }
     let body = AnswerBody {
         incoming,
+        reused: connection.reused,
         connection: Some(connection),
         pool: pool.clone(),
         peer: call.address,
@@ -239,13 +243,14 @@
     cause: String,
     reached: bool,
 ) -> CallError {
-    CallError { step, peer: call.address, fault, cause, reached }
+    CallError { step, peer: call.address, fault, cause, reached, reused: false }
 }
 
 /// The body of an answer; its connection goes back to the pool once it was read to its end.
 pub struct AnswerBody {
     incoming: Incoming,
     connection: Option<PooledConnection>,
+    reused: bool,
     pool: UpstreamPool,
     peer: SocketAddr,
     reusable: bool,
@@ -257,6 +262,11 @@
         self.peer
     }
 
+    /// Tells whether the connection had carried other calls before.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// Polls for the next data; `None` at the end that the protocol marks.
     pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, CallError>> {
         loop {
@@ -302,7 +312,8 @@
         let fault =
             if error.is_incomplete_message() { CallFault::Incomplete } else { CallFault::Broken };
         let cause = error.to_string();
-        CallError { step: "read answer", peer: self.peer, fault, cause, reached: true }
+        let reused = self.reused;
+        CallError { step: "read answer", peer: self.peer, fault, cause, reached: true, reused }
     }
 }
 
