Test crashes, HTTP/2 and certificate reload at the entry

The quarantine, HTTP/2 and TLS had no check. A runner that dies of one request, a cut without a crash, a replaced and a broken certificate are now caused on purpose; rcgen issues the certificates of the tests.

--- /dev/null
+++ b/crates/decisions/tests/quarantine.rs
@@ -0,0 +1,129 @@
+//! Crash quarantine: two crashes name one request, and the innocent stay free.
+
+use std::time::Duration;
+
+use dotterellane_decisions::quarantine::{
+    CRASH_MEMORY, CRASH_WINDOW, CrashMachine, CrashReport, MAX_REPORT_FINGERPRINTS,
+    RequestFingerprint,
+};
+use dotterellane_units::{ClockInstant, UpstreamId};
+use googletest::prelude::*;
+
+const CRASHER: RequestFingerprint = RequestFingerprint(666);
+const INNOCENT: RequestFingerprint = RequestFingerprint(1);
+
+fn runner(name: &str) -> UpstreamId {
+    name.parse().expect("an id")
+}
+
+fn at(millis: u64) -> ClockInstant {
+    ClockInstant::from_millis(millis)
+}
+
+/// Lets `names` run at `runner` and crashes it.
+fn crash(
+    machine: &mut CrashMachine,
+    now: ClockInstant,
+    name: &str,
+    running: &[RequestFingerprint],
+) {
+    let runner = runner(name);
+    for fingerprint in running {
+        machine.enter(now, *fingerprint, &runner);
+    }
+    for fingerprint in running {
+        machine.crashed(now, *fingerprint, &runner);
+    }
+    for fingerprint in running {
+        machine.left(*fingerprint, &runner);
+    }
+}
+
+#[gtest]
+fn quarantine_after_two_crashes() {
+    let mut machine = CrashMachine::default();
+    crash(&mut machine, at(0), "a", &[CRASHER, INNOCENT]);
+    expect_that!(machine.is_quarantined(at(1), CRASHER), eq(false));
+    crash(&mut machine, at(10), "b", &[CRASHER, RequestFingerprint(2)]);
+    expect_that!(machine.is_quarantined(at(11), CRASHER), eq(true));
+    expect_that!(machine.is_quarantined(at(11), INNOCENT), eq(false));
+    expect_that!(machine.is_quarantined(at(11), RequestFingerprint(2)), eq(false));
+}
+
+#[gtest]
+fn quarantine_not_for_breaks_of_one_crash() {
+    let mut machine = CrashMachine::default();
+    crash(&mut machine, at(0), "a", &[INNOCENT]);
+    crash(&mut machine, at(0) + CRASH_WINDOW / 2, "a", &[INNOCENT]);
+    expect_that!(machine.is_quarantined(at(10_000), INNOCENT), eq(false));
+}
+
+#[gtest]
+fn suspects_kept_apart() {
+    let mut machine = CrashMachine::default();
+    crash(&mut machine, at(0), "a", &[CRASHER, INNOCENT]);
+    expect_that!(machine.enter(at(1), CRASHER, &runner("b")), eq(true));
+    expect_that!(machine.enter(at(1), INNOCENT, &runner("b")), eq(false));
+    expect_that!(machine.enter(at(1), INNOCENT, &runner("c")), eq(true));
+    // The same suspect does not run twice side by side.
+    expect_that!(machine.enter(at(1), CRASHER, &runner("d")), eq(false));
+    // Who is not suspect shares a runner with one.
+    expect_that!(machine.enter(at(1), RequestFingerprint(9), &runner("b")), eq(true));
+    machine.left(CRASHER, &runner("b"));
+    expect_that!(machine.enter(at(1), CRASHER, &runner("d")), eq(true));
+}
+
+#[gtest]
+fn crashes_seen_by_two_hosts() {
+    let (mut one, mut two) = (CrashMachine::default(), CrashMachine::default());
+    one.enter(at(0), CRASHER, &runner("a"));
+    let reports = one.crashed(at(0), CRASHER, &runner("a"));
+    reports.iter().for_each(|report| two.absorb(at(50), report));
+    two.enter(at(60), CRASHER, &runner("b"));
+    let reports = two.crashed(at(60), CRASHER, &runner("b"));
+    reports.iter().for_each(|report| one.absorb(at(90), report));
+    expect_that!(one.is_quarantined(at(91), CRASHER), eq(true));
+    expect_that!(two.is_quarantined(at(91), CRASHER), eq(true));
+}
+
+#[gtest]
+fn ambiguity_resolved_when_innocent_ends() {
+    let mut machine = CrashMachine::default();
+    // Two hosts sent the two suspects to one runner again before they heard of each other.
+    for name in ["a", "b"] {
+        let suspects = vec![CRASHER, INNOCENT];
+        machine.absorb(at(0), &CrashReport::Crashed { runner: runner(name), suspects });
+    }
+    expect_that!(machine.is_quarantined(at(1), CRASHER), eq(false));
+    expect_that!(machine.is_quarantined(at(1), INNOCENT), eq(false));
+    expect_that!(machine.enter(at(1), INNOCENT, &runner("c")), eq(true));
+    let report = machine.completed(INNOCENT, &runner("c"));
+    expect_that!(report, some(eq(&CrashReport::Cleared { fingerprint: INNOCENT })));
+    expect_that!(machine.is_quarantined(at(2), CRASHER), eq(true));
+    expect_that!(machine.is_quarantined(at(2), INNOCENT), eq(false));
+}
+
+#[gtest]
+fn crash_forgotten() {
+    let mut machine = CrashMachine::default();
+    crash(&mut machine, at(0), "a", &[CRASHER]);
+    crash(&mut machine, at(10), "b", &[CRASHER]);
+    expect_that!(machine.quarantined_count(at(11)), eq(1));
+    let later = at(10) + CRASH_MEMORY + Duration::from_millis(1);
+    expect_that!(machine.is_quarantined(later, CRASHER), eq(false));
+}
+
+#[gtest]
+fn report_fits_datagram() {
+    let mut machine = CrashMachine::default();
+    for number in 0..200 {
+        machine.enter(at(0), RequestFingerprint(u128::MAX - number), &runner("a"));
+    }
+    let reports = machine.crashed(at(0), RequestFingerprint(u128::MAX), &runner("a"));
+    expect_that!(reports.len(), eq(200_usize.div_ceil(MAX_REPORT_FINGERPRINTS)));
+    for report in &reports {
+        let CrashReport::Crashed { suspects, .. } = report else { continue };
+        // A fingerprint takes at most 19 bytes, and the rest of a report at most 100.
+        expect_that!(suspects.len() * 19 + 100, le(dotterellane_protocol::MAX_MESSAGE_BYTES));
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/connections.rs
@@ -0,0 +1,136 @@
+//! HTTP/2 and TLS towards callers.
+
+mod support;
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dotterellane_entry::TlsIdentity;
+use dotterellane_settings::daemon::TlsSettings;
+use dotterellane_standins::FaultyRunner;
+use googletest::prelude::*;
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, ServerName};
+use rustls::{ClientConfig, RootCertStore};
+use support::{EntryEnvironment, chat_request, test_document, test_limits, whole_text};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio_rustls::TlsConnector;
+
+async fn http2_text<S>(stream: S) -> String
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let executor = TokioExecutor::new();
+    let (mut sender, driver) =
+        hyper::client::conn::http2::handshake::<_, _, Full<Bytes>>(executor, TokioIo::new(stream))
+            .await
+            .expect("a handshake");
+    tokio::spawn(driver);
+    let mut request = chat_request(true, 5, "hello");
+    *request.uri_mut() = "http://entry/v1/chat/completions".parse().expect("an address");
+    request.headers_mut().remove("host");
+    let response = sender.send_request(request).await.expect("an answer");
+    let body = response.into_body().collect().await.expect("a whole body").to_bytes();
+    String::from_utf8_lossy(&body).into_owned()
+}
+
+#[gtest]
+#[tokio::test]
+async fn stream_over_http2() {
+    let runner = FaultyRunner::start().await.expect("a runner");
+    let entry = EntryEnvironment::start(&[runner.address()]).await;
+    let stream = TcpStream::connect(entry.address).await.expect("a connection");
+    let text = http2_text(stream).await;
+    expect_that!(text, contains_substring("t4 "));
+    expect_that!(text, ends_with("data: [DONE]\n\n"));
+}
+
+struct CertificateFiles {
+    settings: TlsSettings,
+    directory: PathBuf,
+}
+
+impl CertificateFiles {
+    fn create(name: &str) -> Self {
+        let directory = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&directory).expect("a directory");
+        let settings = TlsSettings {
+            certificate_file: directory.join("certificate.pem"),
+            key_file: directory.join("key.pem"),
+        };
+        let files = Self { settings, directory };
+        files.replace();
+        files
+    }
+
+    fn replace(&self) {
+        let issued = rcgen::generate_simple_self_signed(["entry".to_owned()]).expect("issued");
+        std::fs::write(&self.settings.certificate_file, issued.cert.pem()).expect("written");
+        std::fs::write(&self.settings.key_file, issued.signing_key.serialize_pem())
+            .expect("written");
+    }
+
+    /// Connects as a client that trusts the certificate in the files alone.
+    async fn connect(
+        &self,
+        entry: &EntryEnvironment,
+    ) -> std::io::Result<impl AsyncRead + AsyncWrite + Unpin + Send + 'static> {
+        let certificate = CertificateDer::from_pem_file(&self.settings.certificate_file);
+        let mut roots = RootCertStore::empty();
+        roots.add(certificate.expect("a certificate")).expect("a root");
+        let mut config =
+            ClientConfig::builder().with_root_certificates(roots).with_no_client_auth();
+        config.alpn_protocols = vec![b"h2".to_vec()];
+        let stream = TcpStream::connect(entry.address).await?;
+        let name = ServerName::try_from("entry").expect("a name");
+        TlsConnector::from(Arc::new(config)).connect(name, stream).await
+    }
+}
+
+impl Drop for CertificateFiles {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn certificate_reloaded() {
+    let runner = FaultyRunner::start().await.expect("a runner");
+    let files = CertificateFiles::create("entry-certificate");
+    let identity = TlsIdentity::load(files.settings.clone()).expect("a certificate");
+    let entry = EntryEnvironment::start_tls(
+        &[runner.address()],
+        test_document(),
+        test_limits(),
+        identity.clone(),
+    )
+    .await;
+    let stream = files.connect(&entry).await.expect("trusted");
+    expect_that!(http2_text(stream).await, contains_substring("t4 "));
+    files.replace();
+    expect_that!(files.connect(&entry).await.is_err(), eq(true));
+    expect_that!(identity.reload().expect("reloaded"), eq(true));
+    expect_that!(identity.reload().expect("reloaded"), eq(false));
+    let stream = files.connect(&entry).await.expect("trusted");
+    expect_that!(http2_text(stream).await, contains_substring("t4 "));
+    // A broken file leaves the certificate in use as it is.
+    std::fs::write(&files.settings.key_file, "nothing").expect("written");
+    expect_that!(identity.reload().is_err(), eq(true));
+    files.connect(&entry).await.expect("trusted");
+    let plain = entry_refuses_plain(&entry).await;
+    expect_that!(plain, not(contains_substring(whole_text(5))));
+}
+
+async fn entry_refuses_plain(entry: &EntryEnvironment) -> String {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = TcpStream::connect(entry.address).await.expect("a connection");
+    let _ = stream.write_all(b"GET /healthz HTTP/1.1\r\nhost: entry\r\n\r\n").await;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dotterellane_entry::{EntryContext, EntryLimits, serve};
+use dotterellane_entry::{EntryContext, EntryLimits, TlsIdentity, serve};
 use dotterellane_fleet::{
     CallOutcome, ChargeRefusal, ConfigurationFeed, ConfigurationSnapshot, DispatchPermit,
     FleetPorts, FreshnessState, PermitRefusal,
@@ -247,6 +247,20 @@
         Self::start_on_table(addresses, document, limits, platform.table()).await
     }
 
+    /// Starts an entry that shows a certificate.
+    pub async fn start_tls(
+        addresses: &[SocketAddr],
+        document: ConfigurationDocument,
+        limits: EntryLimits,
+        identity: TlsIdentity,
+    ) -> Self {
+        let table = MemoryPlatform::default().table();
+        Self::start_context(addresses, document, table, |context| {
+            context.with_limits(limits).with_tls(identity)
+        })
+        .await
+    }
+
     /// Starts an entry with a table of its own.
     pub async fn start_on_table(
         addresses: &[SocketAddr],
@@ -254,6 +268,18 @@
         limits: EntryLimits,
         table: PlatformTable,
     ) -> Self {
+        Self::start_context(addresses, document, table, |context| context.with_limits(limits)).await
+    }
+
+    async fn start_context<C>(
+        addresses: &[SocketAddr],
+        document: ConfigurationDocument,
+        table: PlatformTable,
+        adapt: C,
+    ) -> Self
+    where
+        C: FnOnce(EntryContext) -> EntryContext,
+    {
         let named = addresses.iter().enumerate();
         let runners = named.map(|(place, address)| (id(&format!("runner-{place}")), *address));
         let fleet = Arc::new(Mutex::new(FleetState {
@@ -268,7 +294,7 @@
         let feed =
             ConfigurationFeed::new(ConfigurationSnapshot { version: ConfigVersion(1), document });
         let ports = build_ports(feed.clone(), &fleet);
-        let context = EntryContext::new(ports, table, id("host-1")).with_limits(limits);
+        let context = adapt(EntryContext::new(ports, table, id("host-1")));
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let shutdown = CancellationToken::new();
