--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod memory_ledger;
 pub mod placement;
 pub mod prefix;
+pub mod quarantine;
 pub mod rendezvous;
 pub mod retries;
 pub mod rounds;
