--- a/crates/admin/console/forms.js
+++ b/crates/admin/console/forms.js
@@ -108,8 +108,7 @@
 function roleField(path, value, context) {
   const role = make("select", {}, make("option", { value: "runner", selected: !value?.service }, "runner: serves models"), make("option", { value: "service", selected: Boolean(value?.service) }, "service: serves calls of a plain service"));
   const runner = value?.runner ?? {};
-  const properties = context.schema.$defs.RunnerEntry.properties;
-  const controls = Object.entries(properties).map(([name, property]) => {
+  const controls = ordered(context.schema.$defs.RunnerEntry).map(([name, property]) => {
     const resolved = resolve(context.schema, property);
     const made = control({ type: resolved.type ?? "string" }, runner[name], { placeholder: name === "memory" ? "80GiB" : String(property.default ?? "") });
     return { name, ...made, block: fieldBlock(`${path}.runner.${name}`, name, property.description, made.element) };
@@ -130,13 +129,22 @@
   return { element, read };
 }
 
+// Fields of a type: required ones first, in the schema's order, and groups of fields last.
+function ordered(type) {
+  const required = type.required ?? [];
+  const names = [...required, ...Object.keys(type.properties).filter((name) => !required.includes(name))];
+  const groups = ["role", "callers"];
+  const sorted = [...names.filter((name) => !groups.includes(name)), ...names.filter((name) => groups.includes(name))];
+  return sorted.map((name) => [name, type.properties[name]]);
+}
+
 export function entryForm(context) {
   const { section, id, entry, schema, apply, remove, readOnly } = context;
   const type = schema.$defs[TYPES[section]];
   const name = make("input", { value: id, required: true, disabled: id !== "" });
   const path = () => `${section}.${name.value.trim()}`;
   const nameBlock = fieldBlock("", "name", "1 to 63 letters, digits, '-', '_', '.' or ':'", name);
-  const fields = Object.entries(type.properties).map(([field, property]) => {
+  const fields = ordered(type).map(([field, property]) => {
     const resolved = resolve(schema, property);
     const hint = property.description ?? resolved.description;
     if (field === "callers") return { field, ...callersField(field, entry[field], context, hint) };
--- a/crates/admin/console/overview.js
+++ b/crates/admin/console/overview.js
@@ -6,10 +6,17 @@
 // Share of the whole from which a bar is shown as nearly full, and as full.
 const NEARLY_FULL = 0.8;
 const FULL = 1;
+// Idle models shown by name; a fleet may hold thousands.
+const MAX_IDLE_TILES = 120;
 
-function bar(name, part, whole, amount) {
+// A bar of a bound: its colour tells how near the bound is.
+function boundBar(name, part, whole, amount) {
   const share = whole > 0 ? part / whole : 0;
-  const fill = make("i", { className: share >= FULL ? "bad" : share >= NEARLY_FULL ? "busy" : "" });
+  return bar(name, share, amount, share >= FULL ? "bad" : share >= NEARLY_FULL ? "busy" : "");
+}
+
+function bar(name, share, amount, className = "") {
+  const fill = make("i", { className });
   fill.style.width = `${Math.min(100, 100 * share)}%`;
   return make("div", { className: "bar-line" }, make("span", { className: "name", title: name }, name),
     make("div", { className: "bar", role: "img", "aria-label": `${name}: ${amount}` }, fill), make("span", { className: "amount" }, amount));
@@ -33,26 +40,28 @@
 function seconds(value) { return value >= 10 ? `${value.toFixed(0)} s` : `${value.toFixed(1)} s`; }
 
 function teamsPanel({ teams }) {
-  const bars = teams.map((team) => bar(team.team, team.used, team.rate, `${Math.round(team.used)} / ${Math.round(team.rate)}`));
+  const bars = teams.map((team) => boundBar(team.team, team.used, team.rate, `${Math.round(team.used)} / ${Math.round(team.rate)}`));
   return panel("Teams: tokens a second against rate", "", ...(bars.length ? bars : [empty("No teams yet.")]));
 }
 
 function modelsPanel({ models }) {
   const count = (state) => models.filter((model) => model.state === state).length;
-  const tiles = ["loaded", "loading", "idle"].flatMap((state) => models.filter((model) => model.state === state).map((model) => {
+  const shown = (state) => models.filter((model) => model.state === state).slice(0, state === "idle" ? MAX_IDLE_TILES : undefined);
+  const hidden = Math.max(0, count("idle") - MAX_IDLE_TILES);
+  const tiles = ["loaded", "loading", "idle"].flatMap((state) => shown(state).map((model) => {
     const replicas = model.loaded_on.length ? ` ×${model.loaded_on.length}` : "";
     const waiting = model.waiting ? `, ${model.waiting} waiting` : "";
     const where = [...model.loaded_on, ...model.loading_on].join(", ") || "no replica";
     return make("span", { className: `tile ${state}`, title: `${state}: ${where}; ${model.decided} slots` }, model.model + replicas + waiting);
   }));
   return panel("Models", "wide", make("p", { className: "legend" }, `${count("loaded")} loaded, ${count("loading")} loading, ${count("idle")} idle`),
-    make("div", { className: "tiles" }, ...tiles));
+    make("div", { className: "tiles" }, ...tiles), hidden ? empty(`and ${hidden} idle models more`) : null);
 }
 
 function runnersPanel({ runners }) {
   const draw = (list) => make("div", {}, ...list.map((runner) => {
     const mark = runner.answers ? (runner.leaving ? " (leaving)" : "") : " (silent)";
-    return bar(runner.runner + mark, runner.used, runner.memory, `${(runner.used / GIB).toFixed(0)} / ${(runner.memory / GIB).toFixed(0)} GiB`);
+    return boundBar(runner.runner + mark, runner.used, runner.memory, `${(runner.used / GIB).toFixed(0)} / ${(runner.memory / GIB).toFixed(0)} GiB`);
   }));
   return panel("Runners' memory", "", ...(runners.length ? byDomain(runners, draw) : [empty("No runners yet.")]));
 }
@@ -62,18 +71,18 @@
     const [className, text] = !host.alive ? ["bad", "silent"] : host.leaving ? ["loading", "leaving"] : ["loaded", "serving"];
     return make("span", { className: `tile ${className}` }, `${host.host} ${text}`);
   }));
-  return panel("Hosts by failure domain", "", ...(hosts.length ? byDomain(hosts, draw) : [empty("No hosts listed.")]));
+  return panel("Hosts by failure domain", "wide", hosts.length ? make("div", { className: "domains" }, ...byDomain(hosts, draw)) : empty("No hosts listed."));
 }
 
 function coldPanel({ cold_starts: cold }) {
   const longest = Math.max(cold.p99_seconds, 0.001);
-  const line = (name, value) => bar(name, value * NEARLY_FULL * 0.99, longest, seconds(value));
+  const line = (name, value) => bar(name, value / longest, seconds(value));
   return panel("Cold starts", "", ...(cold.count ? [line("half within", cold.p50_seconds), line("95 in 100", cold.p95_seconds), line("99 in 100", cold.p99_seconds)] : [empty("None so far.")]));
 }
 
 function refusalsPanel({ refusals }) {
   const most = Math.max(1, ...refusals.map((refusal) => refusal.count));
-  const bars = refusals.filter((refusal) => refusal.count > 0).map((refusal) => bar(refusal.cause, refusal.count * NEARLY_FULL * 0.99, most, String(refusal.count)));
+  const bars = refusals.filter((refusal) => refusal.count > 0).map((refusal) => bar(refusal.cause, refusal.count / most, String(refusal.count)));
   return panel("Refusals by cause", "", ...(bars.length ? bars : [empty("None so far.")]));
 }
 
@@ -89,6 +98,9 @@
     figure(cold.count ? seconds(cold.p95_seconds) : "–", "cold start, 95 in 100"),
     figure(table.reachable ? "up" : "down", `table, ${ago}`));
   const warning = table.reachable ? null : make("div", { className: "notice bad", role: "alert" }, "The table does not answer: no change can be accepted. Requests go on.");
-  const panels = make("div", { className: "panels" }, teamsPanel(overview), runnersPanel(overview), modelsPanel(overview), hostsPanel(overview), coldPanel(overview), refusalsPanel(overview));
+  const panels = make("div", { className: "panels" },
+    make("div", { className: "column" }, teamsPanel(overview), coldPanel(overview), refusalsPanel(overview)),
+    make("div", { className: "column" }, runnersPanel(overview)),
+    modelsPanel(overview), hostsPanel(overview));
   main.replaceChildren(...[make("h1", {}, "Overview"), warning, figures, panels].filter(Boolean));
 }
--- a/crates/settings/src/validation.rs
+++ b/crates/settings/src/validation.rs
@@ -224,6 +224,8 @@
         }
         if let Err(message) = rule.check(&field.node.to_json()) {
             let help = format!("write for example {}", rule.example);
+            // Units give an example of their own, which the help repeats.
+            let message = message.split("; write for example").next().unwrap_or_default();
             self.fault(DocumentFault::new(path, message, help).at(field.node.place));
         }
     }
