--- a/crates/dotterellane/src/cli.rs
+++ b/crates/dotterellane/src/cli.rs
@@ -26,10 +26,6 @@
     #[command(flatten)]
     pub connection: ConnectionArguments,
 
-    /// How operators' commands reach the fleet
-    #[command(flatten)]
-    pub connection: ConnectionArguments,
-
     /// What to do
     #[command(subcommand)]
     pub command: Command,
@@ -57,9 +53,6 @@
         #[arg(long, value_name = "FILE")]
         settings: PathBuf,
     },
-    /// Operators' commands
-    #[command(flatten)]
-    Operator(OperatorCommand),
     /// Print shell completions
     Completions {
         /// Shell that they are for
--- a/crates/dotterellane/src/demo/mod.rs
+++ b/crates/dotterellane/src/demo/mod.rs
@@ -15,7 +15,8 @@
 use dotterellane_settings::document::ConfigurationDocument;
 use dotterellane_settings::keys::{CallerKey, OperatorKey, SECRET_BYTES};
 use dotterellane_standins::http_server::StandinServer;
-use dotterellane_standins::runner::{EngineOptions, RunnerOptions, StandinRunner};
+use dotterellane_standins::runner::engine::EngineOptions;
+use dotterellane_standins::runner::{RunnerOptions, StandinRunner};
 use dotterellane_standins::weight_store::WeightStore;
 use dotterellane_standins::{PlainService, platform_server};
 use dotterellane_units::{ConfigVersion, RequestId};
@@ -110,7 +111,7 @@
         let mut runners = Vec::new();
         for (index, _domain) in RUNNER_DOMAINS.iter().enumerate() {
             let engine = EngineOptions {
-                memory: document::RUNNER_MEMORY,
+                capacity: document::RUNNER_MEMORY,
                 honours_fencing: document::honours_fencing(index),
                 ..EngineOptions::default()
             };
--- a/crates/dotterellane/src/main.rs
+++ b/crates/dotterellane/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{CommandFactory, Parser};
 use dotterellane::cli::{Arguments, Command};
 use dotterellane::exit_codes::ExitCode;
-use dotterellane::{commands, demo, logging};
+use dotterellane::{commands, demo, logging, serve};
 
 fn main() -> process::ExitCode {
     match run(&Arguments::parse()) {
@@ -23,7 +23,6 @@
         Command::Demo { json } => demo::run(*json),
         Command::Serve { settings } => serve::run(settings),
         Command::Operator(command) => commands::execute(command, &arguments.connection),
-        Command::Operator(command) => commands::execute(command, &arguments.connection),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(*shell, &mut command, "dotterellane", &mut std::io::stdout());
--- a/crates/entry/src/tls.rs
+++ b/crates/entry/src/tls.rs
@@ -18,7 +18,8 @@
 const RELOAD_PERIOD: Duration = Duration::from_secs(10);
 
 /// Why a certificate cannot be used.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("{step} {}: {cause}", path.display())]
 pub struct TlsError {
     /// What was being done.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod document_edits;
 mod gossip;
 mod keepers;
-pub mod local;
 pub mod log_state;
 pub mod log_store;
 mod members;
