--- a/crates/dotterellane/src/daemon.rs
+++ b/crates/dotterellane/src/daemon.rs
@@ -18,7 +18,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::overview;
+use crate::{crashes, overview};
 
 /// What a daemon is put together from.
 pub struct DaemonOptions {
@@ -104,7 +104,8 @@
         dotterellane_admin::serve(options.admin, administration.clone(), overview, registry)
             .into_diagnostic()?;
     let context = EntryContext::new(ports.clone(), platform.table, host);
-    let context = context.with_limits(options.limits);
+    let mut context = context.with_limits(options.limits);
+    context.crashes = crashes::share(&node)?;
     let shutdown = CancellationToken::new();
     let serving = dotterellane_entry::serve(listener, context, shutdown.clone());
     Ok(DaemonHandle {
@@ -168,6 +169,6 @@
     }))
 }
 
-fn take_inbox(node: &FleetNode, kind: InboxKind) -> miette::Result<PeerInbox> {
+pub(crate) fn take_inbox(node: &FleetNode, kind: InboxKind) -> miette::Result<PeerInbox> {
     node.take_inbox(kind).ok_or_else(|| miette!("the inbox {kind:?} is taken already"))
 }
--- a/crates/dotterellane/src/demo/mod.rs
+++ b/crates/dotterellane/src/demo/mod.rs
@@ -42,7 +42,7 @@
     /// Addresses and keys.
     pub outline: DemoOutline,
     daemons: Vec<DaemonHandle>,
-    _upstreams: StandinUpstreams,
+    upstreams: StandinUpstreams,
     _platform: StandinServer,
 }
 
@@ -85,10 +85,15 @@
     }
     accept_document(&daemons, keys.document(&upstreams)?).await?;
     let outline = keys.outline(&daemons, &upstreams.addresses());
-    Ok(Demo { outline, daemons, _upstreams: upstreams, _platform: platform })
+    Ok(Demo { outline, daemons, upstreams, _platform: platform })
 }
 
 impl Demo {
+    /// Returns how often the stand-in service ran a call with this body.
+    pub fn service_runs(&self, body: &str) -> u64 {
+        self.upstreams.service.runs(body)
+    }
+
     /// Finishes every request and stops.
     ///
     /// # Errors
--- a/crates/dotterellane/src/lib.rs
+++ b/crates/dotterellane/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cli;
 pub mod commands;
+mod crashes;
 pub mod daemon;
 pub mod demo;
 pub mod exit_codes;
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -29,9 +29,8 @@
         while let Some(delivery) = inbox.recv().await {
             let seat =
                 MemberSeat { host: delivery.from.clone(), incarnation: delivery.incarnation };
-            match &delivery.message {
-                PeerMessage::Gossip(message) => self.handle(&seat, message),
-                PeerMessage::Shares(_) | PeerMessage::Dispatch(_) | PeerMessage::Placement(_) => {}
+            if let PeerMessage::Gossip(message) = &delivery.message {
+                self.handle(&seat, message);
             }
         }
     }
--- a/crates/fleet/src/transport.rs
+++ b/crates/fleet/src/transport.rs
@@ -34,10 +34,17 @@
     Dispatch,
     /// Wakes and keepers.
     Placement,
+    /// Crashes of upstreams.
+    Quarantine,
 }
 
-const INBOX_KINDS: [InboxKind; 4] =
-    [InboxKind::Gossip, InboxKind::Shares, InboxKind::Dispatch, InboxKind::Placement];
+const INBOX_KINDS: [InboxKind; 5] = [
+    InboxKind::Gossip,
+    InboxKind::Shares,
+    InboxKind::Dispatch,
+    InboxKind::Placement,
+    InboxKind::Quarantine,
+];
 
 impl InboxKind {
     /// Returns the kind of `message`.
@@ -47,6 +54,7 @@
             PeerMessage::Shares(_) => Self::Shares,
             PeerMessage::Dispatch(_) => Self::Dispatch,
             PeerMessage::Placement(_) => Self::Placement,
+            PeerMessage::Quarantine(_) => Self::Quarantine,
         }
     }
 
@@ -57,6 +65,7 @@
             Self::Shares => "shares",
             Self::Dispatch => "dispatch",
             Self::Placement => "placement",
+            Self::Quarantine => "quarantine",
         }
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -23,6 +23,7 @@
     LogEntry, LogHeads, LogPosition, MemberRecord, MemberSeat,
 };
 pub use placement::PlacementMessage;
+pub use quarantine::{CrashReport, RequestFingerprint};
 pub use shares::ShareMessage;
 
 /// Version of the inner protocol; a datagram with another one is refused and counted.
@@ -43,4 +44,6 @@
     Dispatch(DispatchMessage),
     /// Wakes and keepers of runners.
     Placement(PlacementMessage),
+    /// Crashes of upstreams.
+    Quarantine(CrashReport),
 }
