--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -5,7 +5,7 @@
 use tokio::time::timeout;
 
 use crate::completion::CompletionCall;
-use crate::context::EntryContext;
+use crate::context::{EntryContext, SharedContext};
 use crate::holds::{ChargeHold, PermitHold};
 use crate::refusal::{EntryRefusal, RefusalKind};
 
@@ -28,13 +28,13 @@
 /// # Errors
 /// Refuses if the team's share does not allow it in time.
 pub async fn charge_team(
-    context: &EntryContext,
+    context: &SharedContext,
     charge: ChargeRequest,
 ) -> Result<ChargeHold, EntryRefusal> {
     let team = charge.team.clone();
     let time_left = context.time_left(charge.deadline);
     match timeout(time_left, context.ports.charge(charge)).await {
-        Ok(Ok(receipt)) => Ok(ChargeHold::new(context.ports.clone(), receipt)),
+        Ok(Ok(receipt)) => Ok(ChargeHold::new(context.clone(), receipt)),
         Ok(Err(refusal)) => Err(with_burst(refusal.into(), context, &team)),
         Err(_) => Err(deadline_exceeded()),
     }
@@ -51,7 +51,7 @@
 /// # Errors
 /// Refuses if no place can be had in time.
 pub async fn take_permit(
-    context: &EntryContext,
+    context: &SharedContext,
     call: &CompletionCall,
     excluded: &[UpstreamId],
 ) -> Result<(PermitTarget, PermitHold), EntryRefusal> {
@@ -73,7 +73,7 @@
                 address: permit.address,
                 priority: permit.priority,
             };
-            Ok((target, PermitHold::new(context.ports.clone(), permit)))
+            Ok((target, PermitHold::new(context.clone(), permit)))
         }
         Ok(Err(refusal)) => Err(refusal.into()),
         Err(_) => Err(deadline_exceeded()),
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -12,7 +12,7 @@
 
 use crate::admission::{PermitTarget, deadline_exceeded, take_permit};
 use crate::completion::CompletionCall;
-use crate::context::EntryContext;
+use crate::context::{EntryContext, SharedContext};
 use crate::crashes::{
     FlightHold, check_quarantine, enter_flight, report_break, wait_for_isolation,
 };
@@ -65,7 +65,7 @@
 /// # Errors
 /// Refuses when the attempts or the time are used up, or no runner can be had.
 pub async fn open_answer(
-    context: &EntryContext,
+    context: &SharedContext,
     call: &CompletionCall,
     headers: &HeaderMap,
     log: &mut AttemptLog,
@@ -107,7 +107,7 @@
 
 /// Takes a permit for a runner that the request may go to.
 async fn take_place(
-    context: &EntryContext,
+    context: &SharedContext,
     call: &CompletionCall,
     log: &AttemptLog,
 ) -> Result<(PermitTarget, PermitHold, FlightHold), EntryRefusal> {
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -84,7 +84,9 @@
     pub fn completed(mut self) {
         self.open = false;
         let cleared = self.watch.machine().completed(self.fingerprint, &self.runner);
-        cleared.map(|report| (self.watch.publish)(report));
+        if let Some(report) = cleared {
+            (self.watch.publish)(report);
+        }
     }
 }
 
--- a/crates/entry/src/holds.rs
+++ b/crates/entry/src/holds.rs
@@ -1,20 +1,22 @@
 //! Charges and permits that are given back however a request ends.
 
-use dotterellane_fleet::{CallOutcome, ChargeReceipt, DispatchPermit, FleetPorts};
+use dotterellane_fleet::{CallOutcome, ChargeReceipt, DispatchPermit};
 use dotterellane_units::TokenCount;
 
+use crate::context::SharedContext;
+
 /// A charge; what was not used goes back when it is settled or dropped.
 #[derive(Debug)]
 pub struct ChargeHold {
-    ports: FleetPorts,
+    context: SharedContext,
     receipt: Option<ChargeReceipt>,
     used: TokenCount,
 }
 
 impl ChargeHold {
     /// Holds `receipt`.
-    pub fn new(ports: FleetPorts, receipt: ChargeReceipt) -> Self {
-        Self { ports, receipt: Some(receipt), used: TokenCount(0) }
+    pub fn new(context: SharedContext, receipt: ChargeReceipt) -> Self {
+        Self { context, receipt: Some(receipt), used: TokenCount(0) }
     }
 
     /// Sets the number of tokens used so far.
@@ -27,7 +29,7 @@
     fn drop(&mut self) {
         if let Some(receipt) = self.receipt.take() {
             let unused = receipt.tokens - self.used;
-            self.ports.refund(receipt, unused);
+            self.context.ports.refund(receipt, unused);
         }
     }
 }
@@ -35,14 +37,14 @@
 /// A permit; goes back as abandoned unless it is finished before.
 #[derive(Debug)]
 pub struct PermitHold {
-    ports: FleetPorts,
+    context: SharedContext,
     permit: Option<DispatchPermit>,
 }
 
 impl PermitHold {
     /// Holds `permit`.
-    pub fn new(ports: FleetPorts, permit: DispatchPermit) -> Self {
-        Self { ports, permit: Some(permit) }
+    pub fn new(context: SharedContext, permit: DispatchPermit) -> Self {
+        Self { context, permit: Some(permit) }
     }
 
     /// Gives the permit back.
@@ -52,7 +54,7 @@
 
     fn give_back(&mut self, outcome: CallOutcome) {
         if let Some(permit) = self.permit.take() {
-            self.ports.release(permit, outcome);
+            self.context.ports.release(permit, outcome);
         }
     }
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::attempt::{AttemptLog, OpenCall, open_answer};
 use crate::completion::CompletionCall;
 use crate::context::SharedContext;
-use crate::crashes::report_break;
+use crate::crashes::{FlightHold, report_break};
 use crate::events::EventSplitter;
 use crate::holds::{ChargeHold, PermitHold};
 use crate::keys::still_valid;
@@ -28,7 +28,7 @@
 
 enum RelayPhase {
     /// Chunks come.
-    Relaying { body: AnswerBody, permit: PermitHold, flight: crate::crashes::FlightHold },
+    Relaying(Box<RelayLeg>),
     /// The final mark was passed on; the connection's end is awaited.
     Closing { body: AnswerBody },
     /// The stream broke; another runner is asked to go on.
@@ -39,6 +39,13 @@
     Ended,
 }
 
+/// A stream's part that one runner gives.
+struct RelayLeg {
+    body: AnswerBody,
+    permit: PermitHold,
+    flight: FlightHold,
+}
+
 /// Whom a stream waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum AwaitedSide {
@@ -145,7 +152,8 @@
 }
 
 fn relaying(open: OpenCall) -> RelayPhase {
-    RelayPhase::Relaying { body: open.answer.body, permit: open.permit, flight: open.flight }
+    let leg = RelayLeg { body: open.answer.body, permit: open.permit, flight: open.flight };
+    RelayPhase::Relaying(Box::new(leg))
 }
 
 impl RelayState {
@@ -164,7 +172,7 @@
     fn poll_event(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
         loop {
             let step = match &mut self.phase {
-                RelayPhase::Relaying { body, .. } => match body.poll_data(cx) {
+                RelayPhase::Relaying(leg) => match leg.body.poll_data(cx) {
                     Poll::Pending => return Poll::Pending,
                     Poll::Ready(read) => self.on_read(read),
                 },
@@ -230,7 +238,8 @@
         if let (Some(usage), Some(charge)) = (self.splitter.usage(), &mut self.charge) {
             charge.set_used(TokenCount(usage.prompt_tokens + usage.completion_tokens));
         }
-        if let RelayPhase::Relaying { body, permit, flight } = self.end_phase() {
+        if let RelayPhase::Relaying(leg) = self.end_phase() {
+            let RelayLeg { body, permit, flight } = *leg;
             permit.finish(CallOutcome::Answered);
             flight.completed();
             if !self.splitter.has_excess() {
@@ -249,7 +258,8 @@
 
     /// Asks another runner to go on from what the caller already has.
     fn reopen(&mut self, fault: CallFault) {
-        let RelayPhase::Relaying { body, permit, flight } = self.end_phase() else { return };
+        let RelayPhase::Relaying(leg) = self.end_phase() else { return };
+        let RelayLeg { body, permit, flight } = *leg;
         // A connection that lost its way says nothing of the runner behind it.
         let lost = fault == CallFault::Silent && body.is_reused();
         permit.finish(CallOutcome::Broken);
@@ -325,8 +335,8 @@
         if !self.is_silent(now) {
             return false;
         }
-        let RelayPhase::Relaying { body, .. } = &mut self.phase else { return false };
-        body.condemn();
+        let RelayPhase::Relaying(leg) = &mut self.phase else { return false };
+        leg.body.condemn();
         self.reopen(CallFault::Silent);
         true
     }
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -193,7 +193,7 @@
 }
 
 async fn charge_call(
-    context: &EntryContext,
+    context: &SharedContext,
     call: &ServiceCall,
     cost: TokenCount,
 ) -> Result<Option<ChargeHold>, EntryRefusal> {
--- a/crates/entry/src/whole.rs
+++ b/crates/entry/src/whole.rs
@@ -11,7 +11,7 @@
 use crate::attempt::{AttemptLog, OpenCall, is_callers_mistake, open_answer};
 use crate::body::{BoundedBuffer, EntryBody};
 use crate::completion::CompletionCall;
-use crate::context::EntryContext;
+use crate::context::{EntryContext, SharedContext};
 use crate::crashes::report_break;
 use crate::events::TokenUsage;
 use crate::headers::runner_answer_headers;
@@ -23,7 +23,7 @@
 /// # Errors
 /// Refuses if no runner gives a whole answer in time.
 pub async fn answer_whole(
-    context: &EntryContext,
+    context: &SharedContext,
     call: &CompletionCall,
     headers: &HeaderMap,
     charge: &mut ChargeHold,
