Refuse changes of an operator removed elsewhere, and count changes

Cause: a daemon that lags behind checked the operator against its own document only, so an operator who had been removed could still change a newer version named by If-Match. Change: the operator is checked again in the version that is edited; a lost race waits for the newer version. Adds metrics of changes by outcome and of the version followed. Planted: without the second check access_removed_elsewhere fails. Conclusion: a change is made only for an operator whom the changed version itself allows it.

--- a/crates/admin/src/changes.rs
+++ b/crates/admin/src/changes.rs
@@ -10,7 +10,7 @@
 use dotterellane_units::{ConfigVersion, RequestId};
 use dropshot::RequestContext;
 use spdlog::info;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::access::OperatorAccess;
 use crate::context::AdminContext;
@@ -25,6 +25,8 @@
 const DEFAULT_WAIT_SECONDS: u32 = 5;
 const MAX_WAIT_SECONDS: u32 = 30;
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(50);
+/// Wait for the version that a proposal lost against.
+const NEWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest summary kept in history.
 const MAX_SUMMARY_CHARS: usize = 200;
 
@@ -68,6 +70,19 @@
     order: ChangeOrder,
     edit: E,
 ) -> Result<ChangeAnswer, ApiProblem>
+where
+    E: Fn(&ConfigurationDocument) -> Result<ConfigurationDocument, ApiProblem>,
+{
+    let outcome = try_change(context, order, edit).await;
+    context.metrics.count_change(&outcome);
+    outcome
+}
+
+async fn try_change<E>(
+    context: &AdminContext,
+    order: ChangeOrder,
+    edit: E,
+) -> Result<ChangeAnswer, ApiProblem>
 where
     E: Fn(&ConfigurationDocument) -> Result<ConfigurationDocument, ApiProblem>,
 {
@@ -75,6 +90,8 @@
     for _ in 0..MAX_RACES {
         order.access.recheck(context, &base)?;
         let edited_from = edit_base(context, &order, &base).await?;
+        // This daemon may lag behind the version that the operator saw.
+        order.access.recheck(context, &edited_from)?;
         let document = edit(&edited_from.document)?;
         check_document(&document).map_err(ApiProblem::faulty)?;
         if order.dry_run {
@@ -88,7 +105,9 @@
             Err(ProposalError::Raced { current }) if order.expected.is_some() => {
                 return Err(lost_race(&edited_from, &document, &current));
             }
-            Err(ProposalError::Raced { current }) => base = current,
+            Err(ProposalError::Raced { current }) => {
+                base = await_newer(context, current, base.version).await;
+            }
             Err(error) => {
                 return Err(ApiProblem::platform(&error).with_change(order.change.to_string()));
             }
@@ -112,6 +131,22 @@
     content.map(Arc::new).ok_or_else(missing)
 }
 
+/// Returns a version after `version`, or the newest known one if none comes in time.
+async fn await_newer(
+    context: &AdminContext,
+    raced: Arc<ConfigurationSnapshot>,
+    version: ConfigVersion,
+) -> Arc<ConfigurationSnapshot> {
+    if raced.version > version {
+        return raced;
+    }
+    let mut feed = context.ports.configuration.subscribe();
+    let newer = feed.wait_for(|snapshot| snapshot.version > version);
+    // The feed outlives its receivers, so that only the time can run out.
+    let _ = timeout(NEWER_TIMEOUT, newer).await;
+    context.current()
+}
+
 async fn propose(
     context: &AdminContext,
     order: &ChangeOrder,
--- a/crates/admin/src/context.rs
+++ b/crates/admin/src/context.rs
@@ -9,6 +9,7 @@
 use dotterellane_settings::daemon::FirstOperator;
 use prometheus::Registry;
 
+use crate::metrics::AdminMetrics;
 use crate::overview::FleetOverview;
 
 type OverviewCall = dyn Fn() -> FleetOverview + Send + Sync;
@@ -37,6 +38,7 @@
 /// What every endpoint works with.
 pub(crate) struct AdminContext {
     pub ports: AdministrationPorts,
+    pub metrics: AdminMetrics,
     pub registry: Registry,
     pub first_operator: Option<FirstOperator>,
     pub secure: bool,
@@ -50,18 +52,20 @@
         ports: AdministrationPorts,
         overview: O,
         registry: Registry,
-    ) -> Self
+    ) -> prometheus::Result<Self>
     where
         O: Fn() -> FleetOverview + Send + Sync + 'static,
     {
-        Self {
+        let metrics = AdminMetrics::register(&registry, ports.configuration.clone())?;
+        Ok(Self {
             ports,
+            metrics,
             registry,
             first_operator: options.first_operator.clone(),
             secure: options.tls.is_some(),
             overview: Arc::new(overview),
             wall_clock: Arc::new(epoch_seconds),
-        }
+        })
     }
 
     /// Returns the configuration that this daemon follows.
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -6,6 +6,7 @@
 mod context;
 mod endpoints;
 mod issue;
+mod metrics;
 pub mod overview;
 pub mod problem;
 mod server;
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -31,6 +31,12 @@
         /// What was seen.
         cause: String,
     },
+    /// The metrics clash with others of the registry.
+    #[error("registering the operators' metrics: {cause}")]
+    Metrics {
+        /// What was seen.
+        cause: String,
+    },
     /// The server did not end in good order.
     #[error("closing the operators' server on {listen}: {cause}")]
     Close {
@@ -69,7 +75,8 @@
 /// Serves operators until the returned server is closed.
 ///
 /// # Errors
-/// Fails if the address cannot be listened on or the certificate cannot be read.
+/// Fails if the address cannot be listened on, the certificate cannot be read, or the registry
+/// holds these metrics already.
 ///
 /// # Panics
 /// Never: the endpoints do not clash.
@@ -94,8 +101,9 @@
         default_handler_task_mode: HandlerTaskMode::Detached,
         ..ConfigDropshot::default()
     };
-    let context = Arc::new(AdminContext::new(&options, ports, overview, registry));
-    let server = ServerBuilder::new(description(), context, Logger::root(Discard, o!()))
+    let context = AdminContext::new(&options, ports, overview, registry)
+        .map_err(|error| AdminError::Metrics { cause: error.to_string() })?;
+    let server = ServerBuilder::new(description(), Arc::new(context), Logger::root(Discard, o!()))
         .config(config)
         .tls(tls)
         .start()
--- a/crates/admin/tests/access.rs
+++ b/crates/admin/tests/access.rs
@@ -114,6 +114,28 @@
     expect_that!(answer.status, eq(StatusCode::UNAUTHORIZED));
 }
 
+#[gtest]
+#[tokio::test]
+async fn access_removed_elsewhere() {
+    let bench = TestBench::start();
+    let eve = bench.send_all(Method::POST, "/v1/operators/eve/key", r#"{"role": "all"}"#).await;
+    let eve = bearer(eve.json()["key"].as_str().unwrap());
+    bench.faults(|faults| faults.lagging = true);
+    let eve = [("authorization", eve.as_str())];
+    let removed = bench.send(Method::DELETE, "/v1/entries/operators/ana", &eve, "").await;
+    expect_that!(removed.status, eq(StatusCode::OK));
+    // This daemon has not heard of it, but ana's changes are refused all the same.
+    let entry = r#"{"rate": "1/s", "burst": 30000}"#;
+    let small = bench.send_all(Method::PUT, "/v1/entries/teams/new", entry).await;
+    expect_that!(small.status, eq(StatusCode::UNAUTHORIZED));
+    let ana = bearer(&bench.all_key);
+    let headers = [("authorization", ana.as_str()), ("if-match", "3")];
+    let path = "/v1/entries/teams/new";
+    let seen = bench.send(Method::PUT, path, &headers, entry).await;
+    expect_that!(seen.status, eq(StatusCode::UNAUTHORIZED));
+    expect_that!(bench.version(), eq(3));
+}
+
 #[gtest]
 #[tokio::test]
 async fn key_issue_and_withdraw() {
--- a/crates/admin/tests/configuration.rs
+++ b/crates/admin/tests/configuration.rs
@@ -211,6 +211,20 @@
     expect_that!(missing.status, eq(StatusCode::NOT_FOUND));
 }
 
+#[gtest]
+#[tokio::test]
+async fn metrics_of_changes() {
+    let bench = TestBench::start();
+    bench.send_all(Method::PUT, "/v1/entries/teams/freight", RATE_CHANGE).await;
+    bench.send_all(Method::PUT, "/v1/entries/teams/freight", r#"{"rate": "x"}"#).await;
+    let metrics = bench.send_all(Method::GET, "/metrics", "").await.text;
+    let counted =
+        |outcome| format!("dotterellane_admin_changes_total{{outcome=\"{outcome}\"}} 1\n");
+    expect_that!(metrics, contains_substring(counted("accepted")));
+    expect_that!(metrics, contains_substring(counted("faulty")));
+    expect_that!(metrics, contains_substring("dotterellane_configuration_version 2\n"));
+}
+
 #[gtest]
 fn openapi_committed() {
     let found = serde_json::to_string_pretty(&dotterellane_admin::openapi()).unwrap() + "\n";
--- a/crates/admin/tests/support/mod.rs
+++ b/crates/admin/tests/support/mod.rs
@@ -34,6 +34,8 @@
     pub races: u32,
     /// Whether the table is down.
     pub table_down: bool,
+    /// Whether the daemon hears of no change.
+    pub lagging: bool,
     /// Hosts that do not confirm.
     pub outstanding: BTreeSet<HostId>,
 }
@@ -251,7 +253,9 @@
         move |proposed| {
             let mut fleet = propose_fleet.lock().unwrap();
             let outcome = fleet.propose(&proposed);
-            propose_feed.follow(fleet.current());
+            if !fleet.faults.lagging {
+                propose_feed.follow(fleet.current());
+            }
             std::future::ready(outcome)
         },
         move |version| {
