Keep credit from lying in parts at entries that wait

Cause: tests of the running daemons showed that a burst of 900 met two of three charges of 300: each waiting entry kept part of the credit. A charge was also judged by the wait of charges asked for after it, and a slot change whose answer was lost was tried again for ever. Change: a ledger that is short recalls credit from every entry but the one that is served next, and what was recalled keeps its place; a charge's expected time only gets earlier; charges are numbered against the report that included them; the slot map is read again after each change.

--- a/crates/decisions/src/shares/credit.rs
+++ b/crates/decisions/src/shares/credit.rs
@@ -58,12 +58,14 @@
         }
     }
 
-    /// Follows `ledger`; credit of another one is dropped.
-    pub fn follow(&mut self, ledger: Option<&LedgerAddress>) {
-        if self.ledger.as_ref() != ledger {
+    /// Follows `ledger`; credit of another one is dropped. Tells whether it was another one.
+    pub fn follow(&mut self, ledger: Option<&LedgerAddress>) -> bool {
+        let other = self.ledger.as_ref() != ledger;
+        if other {
             self.ledger = ledger.cloned();
             self.restart();
         }
+        other
     }
 
     fn restart(&mut self) {
--- a/crates/decisions/src/shares/ledger.rs
+++ b/crates/decisions/src/shares/ledger.rs
@@ -173,8 +173,8 @@
         if !self.open_session(&entry, report, now) {
             return Vec::new();
         }
-        self.apply_counters(&entry, report, now);
-        self.place_claim(&entry, report);
+        let returned = self.apply_counters(&entry, report, now);
+        self.place_claim(&entry, report, returned);
         self.extend(&entry, now);
         let mut concerned = self.serve_claims(now);
         self.grant_spare(&entry, report.spare, now);
@@ -314,8 +314,14 @@
         true
     }
 
-    fn apply_counters(&mut self, entry: &MemberSeat, report: &CreditReport, now: ClockInstant) {
-        let Some(account) = self.accounts.get_mut(entry) else { return };
+    /// Takes over what the entry has counted; tells what it returned since its last report.
+    fn apply_counters(
+        &mut self,
+        entry: &MemberSeat,
+        report: &CreditReport,
+        now: ClockInstant,
+    ) -> TokenCount {
+        let Some(account) = self.accounts.get_mut(entry) else { return TokenCount(0) };
         let returned = report.returned - account.returned;
         let refunded = report.refunded - account.refunded;
         account.newest = report.sent;
@@ -323,13 +329,20 @@
         account.returned = report.returned;
         account.refunded = report.refunded;
         self.add_level(returned + refunded, now);
+        returned
     }
 
     /// Queues what the entry needs beyond what is granted and queued already.
-    fn place_claim(&mut self, entry: &MemberSeat, report: &CreditReport) {
+    fn place_claim(&mut self, entry: &MemberSeat, report: &CreditReport, returned: TokenCount) {
         let granted = self.accounts.get(entry).map_or(TokenCount(0), |account| account.granted);
         let need = report.need - (granted - report.granted);
-        let queued: TokenCount = self.claimed_by(entry);
+        let mut queued: TokenCount = self.claimed_by(entry);
+        // What was granted to a claim and recalled keeps the claim's place.
+        if let Some((_, tokens)) = self.claims.iter_mut().find(|(other, _)| other == entry) {
+            let restored = returned.min(need - queued);
+            *tokens += restored;
+            queued += restored;
+        }
         if need > queued {
             self.claims.push_back((entry.clone(), need - queued));
         }
@@ -461,12 +474,11 @@
         if self.claims.is_empty() && !self.releasing {
             return Vec::new();
         }
-        let waiting: BTreeSet<MemberSeat> =
-            self.claims.iter().map(|(entry, _)| entry.clone()).collect();
+        let served_next = self.claims.front().map(|(entry, _)| entry.clone());
         let mut messages = Vec::new();
         for (entry, account) in &mut self.accounts {
             let lately = account.recalled.is_some_and(|sent| now.since(sent) < RECALL_PERIOD);
-            if account.unspent() == TokenCount(0) || lately || waiting.contains(entry) {
+            if account.unspent() == TokenCount(0) || lately || served_next.as_ref() == Some(entry) {
                 continue;
             }
             account.recalled = Some(now);
--- a/crates/decisions/src/shares/machine.rs
+++ b/crates/decisions/src/shares/machine.rs
@@ -97,6 +97,8 @@
     member: MemberPledge,
     credit: EntryCredit,
     waiting: WaitingQueue,
+    /// When the newest report was sent, and the newest charge that it includes.
+    reported: Option<(ClockInstant, u64)>,
     urgent: bool,
     ledger: Option<TeamLedger>,
     holder: Option<HostId>,
@@ -157,6 +159,7 @@
             member: MemberPledge::new(self.timings, now),
             credit: EntryCredit::new(self.timings, now),
             waiting: WaitingQueue::default(),
+            reported: None,
             urgent: false,
             ledger: None,
             holder: role_holder(LEDGER_ROLE, team.as_str(), &self.serving).cloned(),
@@ -223,8 +226,8 @@
                 request,
                 tokens,
                 deadline,
-                asked: now,
                 judged: now,
+                expected: None,
             });
             state.urgent = true;
         }
@@ -390,7 +393,8 @@
                 }
             }
             ShareContent::Recall => {
-                if state.member.ledger() == Some(&address) && state.waiting.is_empty() {
+                // What is left is too little for the next charge, or nothing waits.
+                if state.member.ledger() == Some(&address) {
                     state.credit.give_back(TokenCount(0), now);
                     state.urgent = true;
                 }
@@ -408,7 +412,9 @@
         let timings = self.timings;
         let Some(state) = self.teams.get_mut(team) else { return };
         state.member.settle(now);
-        state.credit.follow(state.member.ledger());
+        if state.credit.follow(state.member.ledger()) {
+            state.waiting.forget_estimates();
+        }
         state.credit.advance_demand(now);
         if state.member.ledger().is_none() {
             let refund = state.credit.take_refund();
@@ -487,8 +493,10 @@
 
     fn judge_by(&mut self, grant: &CreditGrant, now: ClockInstant, actions: &mut Vec<ShareAction>) {
         let CreditGrant { sent, rate, burst, .. } = *grant;
-        if let Some(wait) = grant.wait {
-            let estimate = WaitEstimate { asked_until: sent, wait, rate, burst };
+        // A wait that answers an older report does not tell of the charges since.
+        let reported = self.reported.filter(|(report, _)| *report == sent);
+        if let Some((wait, (_, last))) = grant.wait.zip(reported) {
+            let estimate = WaitEstimate { last, wait, rate, burst };
             self.judge(&estimate, now, actions);
         }
     }
@@ -508,7 +516,8 @@
         let missing = self.waiting.total() - self.member.settle(now);
         if let Some(wait) = part.rate.time_for(missing) {
             let (rate, burst) = (part.rate, part.burst);
-            self.judge(&WaitEstimate { asked_until: now, wait, rate, burst }, now, actions);
+            let last = self.waiting.last_number();
+            self.judge(&WaitEstimate { last, wait, rate, burst }, now, actions);
         }
     }
 
@@ -532,7 +541,9 @@
             return;
         }
         self.urgent = false;
-        let content = ShareContent::Report(self.credit.report(need, now));
+        let report = self.credit.report(need, now);
+        self.reported = Some((report.sent, self.waiting.last_number()));
+        let content = ShareContent::Report(report);
         let message = ShareMessage { team: team.clone(), epoch: ledger.epoch, content };
         actions.push(ShareAction::Send { to: ledger.host, message });
     }
--- a/crates/decisions/tests/share_scenarios.rs
+++ b/crates/decisions/tests/share_scenarios.rs
@@ -248,6 +248,7 @@
     shares_partition_while_slots_move = "partition_while_slots_move";
     shares_rates_changed = "rates_changed";
     shares_refunds = "refunds";
+    shares_small_rate = "small_rate";
     shares_steady = "steady";
     shares_table_down_and_ledger_dies = "table_down_and_ledger_dies";
     shares_table_down_for_an_hour = "table_down_for_an_hour";
--- a/crates/fleet/src/shares.rs
+++ b/crates/fleet/src/shares.rs
@@ -494,6 +494,8 @@
             writes: vec![RowWrite { key, value: Some(value) }],
         };
         let appended = (self.append)(SlotChange { number: moved.change, transaction }).await;
+        // A change whose answer was lost may have been made: the map is read again.
+        self.map = None;
         let made = appended.map_err(|cause| SlotError::Append { change: moved.change, cause })?;
         let outcome = if made { "made" } else { "raced" };
         self.core.metrics.slot_moves.with_label_values(&[outcome]).inc();
