Let half of the random orders meet a settled fleet

Cause: orders that began with a starting fleet alone did not catch two planted faults of the freshness argument. Change: half of the orders start after 20 s; cuts take any set of hosts.

--- a/crates/decisions/tests/freshness/main.rs
+++ b/crates/decisions/tests/freshness/main.rs
@@ -34,7 +34,7 @@
         1 => Just(ScenarioCommand::Table("up".to_owned())),
         1 => Just(ScenarioCommand::Answers("lost".to_owned())),
         1 => Just(ScenarioCommand::Answers("kept".to_owned())),
-        1 => host(count).prop_map(|host| ScenarioCommand::Cut(vec![host])),
+        2 => prop::collection::vec(host(count), 1..=count).prop_map(ScenarioCommand::Cut),
         2 => groups.prop_map(split),
         1 => Just(ScenarioCommand::Heal),
         2 => host(count).prop_map(ScenarioCommand::Restart),
@@ -66,9 +66,12 @@
     let config = Config { cases: cases(), failure_persistence: None, ..Config::default() };
     let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
     let mut runner = TestRunner::new_with_rng(config, random);
-    let orders = (any::<u64>(), prop::collection::vec(command(count), 1..40));
-    let checked = runner.run(&orders, |(seed, commands)| {
+    // Half of the orders meet a fleet whose members have all joined.
+    let settling = prop_oneof![Just(0.0), Just(20.0)];
+    let orders = (any::<u64>(), settling, prop::collection::vec(command(count), 1..40));
+    let checked = runner.run(&orders, |(seed, settling, commands)| {
         let mut simulation = Simulation::new(count, seed);
+        simulation.run(Duration::from_secs_f64(settling)).map_err(TestCaseError::fail)?;
         let mut scenario = ScenarioRunner::with(&mut simulation);
         for command in &commands {
             scenario.apply(command).map_err(TestCaseError::fail)?;
