Run dispatchers and keepers in the daemon

Cause: the decisions need a daemon around them, alone or among others. Change: PlacementRuntime, one task that owns dispatchers, keepers and the load queue and is reached by events; attach() sets the permits of FleetPorts. Roles go by rendezvous hashing over the serving members; a message to this host takes the same way as one to a peer, so that a lone daemon runs the same code. Slots of a model and of a runner are written in one transaction, so that a keeper reads two rows and no scan. The lease of a runner is read by the first three in line, which lets them take over while the table is down. Planted: victims never drained: permit_full_runners_evict fails; no claim without the table: permit_keeper_lost_table_down fails.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -22,6 +22,8 @@
 const LOAD_WEIGHT: f64 = 0.5;
 /// Time after which a replica that was asked for is asked for again.
 const WAKE_AGAIN_AFTER: Duration = Duration::from_secs(1);
+/// Time after which another slot is tried if a wake brought nothing.
+const WAKE_LIFETIME: Duration = Duration::from_secs(5);
 
 /// Bounds of one model's dispatcher.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -193,6 +195,11 @@
         self.advance(now)
     }
 
+    /// Returns the number of permits that are out on a runner.
+    pub fn permits_on(&self, runner: &UpstreamId) -> u32 {
+        self.places.get(runner).map_or(0, |place| place.permits)
+    }
+
     /// Returns the runners that have a slot.
     pub fn runners(&self) -> impl Iterator<Item = &UpstreamId> {
         self.places.keys()
@@ -392,10 +399,13 @@
         } else if ready.count() > 0 {
             return None;
         }
+        // A wake under way is kept to: a second replica would double the load.
+        let unwoken =
+            |place: &RunnerPlace| place.woken_at.is_none_or(|at| now.since(at) >= WAKE_LIFETIME);
         let soonest = places
             .iter()
             .filter(usable)
-            .min_by_key(|(runner, place)| (place.expected_at(now), *runner));
+            .min_by_key(|(runner, place)| (unwoken(place), place.expected_at(now), *runner));
         soonest.map(|(runner, _)| (*runner).clone())
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,14 +7,17 @@
 pub mod configuration;
 mod configuration_log;
 pub mod control;
+mod dispatch;
 pub mod document_edits;
 mod gossip;
+mod keepers;
 pub mod local;
 pub mod log_state;
 pub mod log_store;
 mod members;
 pub mod node;
 pub mod peers;
+pub mod placement;
 pub mod ports;
 pub mod shares;
 pub mod timer;
@@ -28,6 +31,7 @@
 pub use control::AppendError;
 pub use node::{FleetNode, NodeError, NodePlatform, NodeSettings};
 pub use peers::{MemberFeed, MemberInfo, MemberView, PeerDelivery, PeerInbox, PeerSender};
+pub use placement::{OrdersFactory, PlacementParts, PlacementRuntime};
 pub use ports::{
     CallOutcome, ChargeReceipt, ChargeRefusal, ChargeRequest, DispatchPermit, FleetPorts,
     FreshnessState, PermitRefusal, PermitRequest,
--- /dev/null
+++ b/crates/fleet/tests/placement_runtime.rs
@@ -0,0 +1,112 @@
+//! Daemons wake, evict and hand over as the decisions say, over real orders.
+
+mod placement_fleet;
+
+use std::time::Duration;
+
+use dotterellane_fleet::PermitRefusal;
+use dotterellane_platform::memory::PlatformFault;
+use dotterellane_units::ByteSize;
+use googletest::prelude::*;
+use placement_fleet::{FleetShape, TestFleet, answered, ask};
+
+const DEADLINE: Duration = Duration::from_secs(20);
+
+fn small_shape(hosts: usize) -> FleetShape {
+    FleetShape {
+        hosts,
+        runners: 2,
+        fencing: true,
+        capacity: ByteSize::mebibytes(100),
+        models: vec![
+            ("draft", ByteSize::mebibytes(60)),
+            ("roster", ByteSize::mebibytes(60)),
+            ("notice", ByteSize::mebibytes(60)),
+        ],
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn permit_idle_model_wakes() -> googletest::Result<()> {
+    let fleet = TestFleet::start(small_shape(1)).await;
+    let ports = fleet.ports(0);
+    let permit = ask(&ports, "draft", 1, DEADLINE).await.or_fail()?;
+    expect_that!(fleet.loaded("draft"), eq(1));
+    answered(&ports, permit);
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn permit_unknown_model() {
+    let fleet = TestFleet::start(small_shape(1)).await;
+    let refused = ask(&fleet.ports(0), "nothing", 1, DEADLINE).await;
+    expect_that!(refused, err(matches_pattern!(PermitRefusal::NoRunner { .. })));
+}
+
+#[gtest]
+#[tokio::test]
+async fn permit_burst_coalesced() -> googletest::Result<()> {
+    let fleet = TestFleet::start(small_shape(3)).await;
+    let asks = (0..6).map(|index| {
+        let ports = fleet.ports(index % 3);
+        async move {
+            let permit = ask(&ports, "draft", 10 + index as u128, DEADLINE).await?;
+            answered(&ports, permit);
+            Ok::<(), PermitRefusal>(())
+        }
+    });
+    futures::future::try_join_all(asks).await.or_fail()?;
+    // Six first requests at three hosts woke one replica.
+    expect_that!(fleet.loaded("draft"), eq(1));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn permit_full_runners_evict() -> googletest::Result<()> {
+    let fleet = TestFleet::start(small_shape(2)).await;
+    for (index, model) in ["draft", "roster", "notice"].into_iter().enumerate() {
+        let ports = fleet.ports(index % 2);
+        // Less than an idle replica is kept for, so that waiting does not make room.
+        let deadline = Duration::from_secs(4);
+        let permit = ask(&ports, model, 20 + index as u128, deadline).await.or_fail()?;
+        expect_that!(fleet.loaded(model), eq(1));
+        answered(&ports, permit);
+    }
+    for runner in &fleet.runners {
+        expect_that!(runner.control.engine().peak(), le(ByteSize::mebibytes(100)));
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn permit_keeper_lost_table_down() -> googletest::Result<()> {
+    let mut fleet = TestFleet::start(small_shape(3)).await;
+    let permit = ask(&fleet.ports(0), "draft", 30, DEADLINE).await.or_fail()?;
+    answered(&fleet.ports(0), permit);
+    // Every host in line has read the leases by now.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    fleet.platform.set_fault(PlatformFault::Down);
+    let gone: Vec<_> = fleet.daemons.keys().skip(1).cloned().collect();
+    gone.iter().for_each(|host| fleet.kill(host));
+    for (index, model) in ["draft", "roster", "notice"].into_iter().enumerate() {
+        let ports = fleet.ports(0);
+        let permit = ask(&ports, model, 40 + index as u128, DEADLINE).await.or_fail()?;
+        answered(&ports, permit);
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn permit_deadline_too_short() {
+    let fleet = TestFleet::start(small_shape(1)).await;
+    // Let the slots be decided and reported.
+    let permit = ask(&fleet.ports(0), "draft", 50, DEADLINE).await;
+    expect_that!(permit, ok(anything()));
+    let refused = ask(&fleet.ports(0), "draft", 51, Duration::from_millis(1)).await;
+    expect_that!(refused, err(matches_pattern!(PermitRefusal::TooLate { .. })));
+}
--- a/crates/protocol/src/placement.rs
+++ b/crates/protocol/src/placement.rs
@@ -168,4 +168,26 @@
         /// Adapter, if only an adapter was loaded.
         adapter: Option<AdapterId>,
     },
+    /// The load queue has a load and will give it a turn later.
+    LoadQueued {
+        /// Runner that waits.
+        runner: UpstreamId,
+        /// Model that it will load.
+        model: ModelId,
+        /// Adapter, if only an adapter is loaded.
+        adapter: Option<AdapterId>,
+    },
+    /// A dispatcher tells a keeper how a replica is used; sent at intervals.
+    Usage {
+        /// Model of the replica.
+        model: ModelId,
+        /// Runner that holds it.
+        runner: UpstreamId,
+        /// Whether permits are out.
+        busy: bool,
+        /// Time since the last use.
+        idle: Duration,
+        /// How long the replica shall stay loaded while idle.
+        hold: Duration,
+    },
 }
