--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod placement;
 pub mod ports;
+pub mod share_slots;
 pub mod shares;
 pub mod timer;
 pub mod transport;
