--- a/crates/fleet/tests/placement_runtime.rs
+++ b/crates/fleet/tests/placement_runtime.rs
@@ -69,7 +69,9 @@
     let fleet = TestFleet::start(small_shape(2)).await;
     for (index, model) in ["draft", "roster", "notice"].into_iter().enumerate() {
         let ports = fleet.ports(index % 2);
-        let permit = ask(&ports, model, 20 + index as u128, DEADLINE).await.or_fail()?;
+        // Less than an idle replica is kept for, so that waiting does not make room.
+        let deadline = Duration::from_secs(4);
+        let permit = ask(&ports, model, 20 + index as u128, deadline).await.or_fail()?;
         expect_that!(fleet.loaded(model), eq(1));
         answered(&ports, permit);
     }
