Cause ends without mark, stalled HTTP/2 streams and shared ids

Planted faults showed three checks that could not fail: an answer that ends as HTTP demands but lacks its final mark, a caller that stops reading one HTTP/2 stream of a live connection, and one id for all requests. Each is now caused on purpose.

--- a/crates/entry/tests/answers.rs
+++ b/crates/entry/tests/answers.rs
@@ -55,6 +55,7 @@
     let faults = [
         RunnerFault::Crossed,
         RunnerFault::Short,
+        RunnerFault::Unmarked,
         RunnerFault::DiesAfter(0),
         RunnerFault::DiesAfter(7),
         RunnerFault::Silent,
@@ -74,12 +75,18 @@
     }
 }
 
+fn is_of_streams(fault: &RunnerFault) -> bool {
+    use RunnerFault::{DiesAfter, SilentAfter, Unmarked};
+    matches!(fault, DiesAfter(_) | SilentAfter(_) | Unmarked)
+}
+
 #[gtest]
 #[tokio::test]
 async fn answer_wrong_from_every_runner() {
     let faults = [
         RunnerFault::Crossed,
         RunnerFault::Short,
+        RunnerFault::Unmarked,
         RunnerFault::DiesAfter(7),
         RunnerFault::Silent,
         RunnerFault::SilentAfter(4),
@@ -90,9 +97,7 @@
         runners.iter().for_each(|runner| runner.set_fault(fault.clone()));
         let entry = environment(&runners).await;
         for streamed in [true, false] {
-            // Whole answers know no chunks to die after.
-            if !streamed && matches!(fault, RunnerFault::DiesAfter(_) | RunnerFault::SilentAfter(_))
-            {
+            if !streamed && is_of_streams(&fault) {
                 continue;
             }
             let answer = entry.chat(streamed, 20).await;
--- a/crates/entry/tests/connections.rs
+++ b/crates/entry/tests/connections.rs
@@ -4,22 +4,35 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use dotterellane_entry::TlsIdentity;
+use dotterellane_fleet::CallOutcome;
 use dotterellane_settings::daemon::TlsSettings;
 use dotterellane_standins::FaultyRunner;
+use dotterellane_units::TokenCount;
 use googletest::prelude::*;
+use http::Request;
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, ServerName};
 use rustls::{ClientConfig, RootCertStore};
-use support::{EntryEnvironment, chat_request, test_document, test_limits, whole_text};
+use support::{
+    EntryEnvironment, chat_request, model_entry, test_document, test_limits, whole_text,
+};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio_rustls::TlsConnector;
 
+fn http2_request(tokens: u64) -> Request<Full<Bytes>> {
+    let mut request = chat_request(true, tokens, "hello");
+    *request.uri_mut() = "http://entry/v1/chat/completions".parse().expect("an address");
+    request.headers_mut().remove("host");
+    request
+}
+
 async fn http2_text<S>(stream: S) -> String
 where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
@@ -30,10 +43,7 @@
             .await
             .expect("a handshake");
     tokio::spawn(driver);
-    let mut request = chat_request(true, 5, "hello");
-    *request.uri_mut() = "http://entry/v1/chat/completions".parse().expect("an address");
-    request.headers_mut().remove("host");
-    let response = sender.send_request(request).await.expect("an answer");
+    let response = sender.send_request(http2_request(5)).await.expect("an answer");
     let body = response.into_body().collect().await.expect("a whole body").to_bytes();
     String::from_utf8_lossy(&body).into_owned()
 }
@@ -49,6 +59,37 @@
     expect_that!(text, ends_with("data: [DONE]\n\n"));
 }
 
+#[gtest]
+#[tokio::test]
+async fn stream_stalled_on_live_connection() {
+    let runner = FaultyRunner::start().await.expect("a runner");
+    let mut document = test_document();
+    let mut model = model_entry(Duration::from_secs(30));
+    model.max_output = TokenCount(1_000_000);
+    document.models.insert("planner".parse().expect("an id"), model);
+    let limits = test_limits();
+    let entry = EntryEnvironment::start_with(&[runner.address()], document, limits).await;
+    let stream = TcpStream::connect(entry.address).await.expect("a connection");
+    let (mut sender, driver) = hyper::client::conn::http2::handshake::<_, _, Full<Bytes>>(
+        TokioExecutor::new(),
+        TokioIo::new(stream),
+    )
+    .await
+    .expect("a handshake");
+    tokio::spawn(driver);
+    // Its window fills, while the connection itself stays alive and open.
+    let stalled = sender.send_request(http2_request(1_000_000)).await.expect("an answer");
+    entry.settled().await;
+    let fleet_released = entry.fleet.lock().expect("fleet").released.clone();
+    expect_that!(fleet_released.last().expect("a permit").1, eq(CallOutcome::Abandoned));
+    let other = sender.send_request(http2_request(5)).await.expect("an answer");
+    let body = other.into_body().collect().await.expect("a whole body").to_bytes();
+    expect_that!(String::from_utf8_lossy(&body), ends_with("data: [DONE]\n\n"));
+    // The caller that comes back finds an error, not a short answer.
+    let body = stalled.into_body().collect().await.expect("an end").to_bytes();
+    expect_that!(String::from_utf8_lossy(&body), contains_substring("request_timeout"));
+}
+
 struct CertificateFiles {
     settings: TlsSettings,
     directory: PathBuf,
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -74,6 +74,7 @@
     // A caller's id is never the fleet's: two callers may choose the same.
     let seen = runner.seen();
     expect_that!(seen[0].header("x-request-id"), not(some(eq("my-own"))));
+    expect_that!(seen[0].header("x-request-id"), not(eq(seen[1].header("x-request-id"))));
     expect_that!(seen[1].header("x-request-id"), some(eq(unnamed.header("x-request-id"))));
     expect_that!(seen[1].header("x-priority"), some(eq("7")));
 }
--- a/crates/standins/src/faulty_runner.rs
+++ b/crates/standins/src/faulty_runner.rs
@@ -30,6 +30,8 @@
     Late(Duration),
     /// The connection closes before the declared length, or before the final mark.
     Short,
+    /// The answer ends as HTTP demands, but before its final mark.
+    Unmarked,
     /// More comes than was declared, or after the final mark.
     Long,
     /// The connection closes after this many chunks.
@@ -236,6 +238,10 @@
     if *fault == RunnerFault::Short {
         return Ok(ConnectionFate::Close);
     }
+    if *fault == RunnerFault::Unmarked {
+        send_chunk(stream, b"").await?;
+        return Ok(ConnectionFate::Keep);
+    }
     send_chunk(stream, b"data: [DONE]\n\n").await?;
     if *fault == RunnerFault::Long {
         send_chunk(stream, b"data: {\"other\":true}\n\n").await?;
