Name the provider of cryptography

Cause: with dropshot in the same build, rustls has two providers and picks none: the callers' TLS panicked at its first connection; found by certificate_reloaded in the workspace's test run, not in the package's own. Change: the entry names ring, the daemon installs it for the operators' server.

--- a/crates/dotterellane/src/daemon.rs
+++ b/crates/dotterellane/src/daemon.rs
@@ -84,6 +84,8 @@
 /// # Errors
 /// Fails if an address cannot be listened on.
 pub async fn start(options: DaemonOptions) -> miette::Result<DaemonHandle> {
+    // The operators' server takes the process's provider; a second daemon finds it installed.
+    let _ = rustls::crypto::ring::default_provider().install_default();
     let listener = TcpListener::bind(options.entry)
         .await
         .into_diagnostic()
--- a/crates/entry/src/tls.rs
+++ b/crates/entry/src/tls.rs
@@ -102,7 +102,11 @@
         path: settings.key_file.clone(),
         cause: error.to_string(),
     })?;
-    let mut config = ServerConfig::builder()
+    // Named, since other packages may bring another provider into the same process.
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .map_err(|error| at_certificate(error.to_string()))?
         .with_no_client_auth()
         .with_single_cert(chain, private_key)
         .map_err(|error| at_certificate(error.to_string()))?;
--- a/crates/entry/tests/connections.rs
+++ b/crates/entry/tests/connections.rs
@@ -123,8 +123,12 @@
         let certificate = CertificateDer::from_pem_file(&self.settings.certificate_file);
         let mut roots = RootCertStore::empty();
         roots.add(certificate.expect("a certificate")).expect("a root");
-        let mut config =
-            ClientConfig::builder().with_root_certificates(roots).with_no_client_auth();
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut config = ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .expect("protocol versions")
+            .with_root_certificates(roots)
+            .with_no_client_auth();
         config.alpn_protocols = vec![b"h2".to_vec()];
         let stream = TcpStream::connect(entry.address).await?;
         let name = ServerName::try_from("entry").expect("a name");
