--- a/crates/dotterellane/src/daemon.rs
+++ b/crates/dotterellane/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use dotterellane_admin::{AdminOptions, AdminServer};
-use dotterellane_entry::{EntryContext, EntryLimits};
+use dotterellane_entry::{EntryContext, EntryLimits, TlsIdentity};
 use dotterellane_fleet::placement::{OrdersFactory, PlacementParts, PlacementRuntime};
 use dotterellane_fleet::share_slots::SlotLog;
 use dotterellane_fleet::shares::{RunningShares, ShareParts, start_shares};
@@ -12,6 +12,7 @@
     AdministrationPorts, FleetNode, FleetPorts, InboxKind, MemberFeed, NodePlatform, NodeSettings,
     PeerInbox, TimerService, boot_clock, node,
 };
+use dotterellane_settings::daemon::TlsSettings;
 use miette::{IntoDiagnostic, WrapErr, miette};
 use prometheus::Registry;
 use tokio::net::TcpListener;
@@ -34,6 +35,8 @@
     pub orders: OrdersFactory,
     /// Bounds on what one caller or upstream can take.
     pub limits: EntryLimits,
+    /// Certificate for callers; plain HTTP without it.
+    pub tls: Option<TlsSettings>,
 }
 
 /// A running daemon.
@@ -108,6 +111,9 @@
     let context = EntryContext::new(ports.clone(), platform.table, host);
     let mut context = context.with_limits(options.limits);
     context.crashes = crashes::share(&node)?;
+    if let Some(tls) = options.tls {
+        context = context.with_tls(TlsIdentity::load(tls).into_diagnostic()?);
+    }
     let shutdown = CancellationToken::new();
     let serving = dotterellane_entry::serve(listener, context, shutdown.clone());
     Ok(DaemonHandle {
--- a/crates/dotterellane/src/demo/mod.rs
+++ b/crates/dotterellane/src/demo/mod.rs
@@ -1,6 +1,6 @@
 //! A whole fleet in one process, with stand-ins for the platform and the upstreams.
 
-mod document;
+pub mod document;
 mod instructions;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -144,6 +144,7 @@
         },
         orders: Arc::new(|_runner, address| RunnerOrders::http(address)),
         limits: EntryLimits { shutdown_lag: SHUTDOWN_LAG, ..EntryLimits::default() },
+        tls: None,
     }
 }
 
--- a/crates/dotterellane/src/serve.rs
+++ b/crates/dotterellane/src/serve.rs
@@ -70,6 +70,7 @@
         platform,
         orders: Arc::new(|_runner, address| RunnerOrders::http(address)),
         limits: entry_limits(&settings.limits),
+        tls: settings.tls,
     })
 }
 
