Compute over whole documents apart from the serving threads

Change: reading, checking, comparing and merging run on the runtime's blocking threads. Conclusion: a change no longer delays requests of its host.

--- a/crates/admin/src/changes.rs
+++ b/crates/admin/src/changes.rs
@@ -8,14 +8,14 @@
 use dotterellane_settings::document::ConfigurationDocument;
 use dotterellane_settings::{check_document, write_document};
 use dotterellane_units::{ConfigVersion, RequestId};
-use dropshot::RequestContext;
+use dropshot::{HttpError, RequestContext};
 use spdlog::info;
 use tokio::time::{Instant, timeout};
 
 use crate::access::OperatorAccess;
 use crate::context::AdminContext;
 use crate::problem::{ApiProblem, RaceBody};
-use crate::wire::{ChangeAnswer, ChangeQuery};
+use crate::wire::{ChangeAnswer, ChangeQuery, DifferenceBody};
 
 /// Attempts of a small change that others come before.
 const MAX_RACES: u32 = 8;
@@ -71,7 +71,10 @@
     edit: E,
 ) -> Result<ChangeAnswer, ApiProblem>
 where
-    E: Fn(&ConfigurationDocument) -> Result<ConfigurationDocument, ApiProblem>,
+    E: Fn(&ConfigurationDocument) -> Result<ConfigurationDocument, ApiProblem>
+        + Send
+        + Sync
+        + 'static,
 {
     let outcome = try_change(context, order, edit).await;
     context.metrics.count_change(&outcome);
@@ -84,26 +87,33 @@
     edit: E,
 ) -> Result<ChangeAnswer, ApiProblem>
 where
-    E: Fn(&ConfigurationDocument) -> Result<ConfigurationDocument, ApiProblem>,
+    E: Fn(&ConfigurationDocument) -> Result<ConfigurationDocument, ApiProblem>
+        + Send
+        + Sync
+        + 'static,
 {
+    let edit = Arc::new(edit);
     let mut base = context.current();
     for _ in 0..MAX_RACES {
         order.access.recheck(context, &base)?;
         let edited_from = edit_base(context, &order, &base).await?;
         // This daemon may lag behind the version that the operator saw.
         order.access.recheck(context, &edited_from)?;
-        let document = edit(&edited_from.document)?;
-        check_document(&document).map_err(ApiProblem::faulty)?;
+        let edited = {
+            let (edit, edited_from) = (edit.clone(), edited_from.clone());
+            compute(move || edit_document(&*edit, &edited_from)).await?
+        };
         if order.dry_run {
-            return Ok(answer(context, true, edited_from.version, &edited_from, &document));
+            return Ok(edited.answer(context, true, edited_from.version));
         }
-        match propose(context, &order, edited_from.version, &document).await {
+        match propose(context, &order, edited_from.version, &edited.document).await {
             Ok(version) => {
                 await_in_force(context, version, order.wait).await;
-                return Ok(answer(context, false, version, &edited_from, &document));
+                return Ok(edited.answer(context, false, version));
             }
             Err(ProposalError::Raced { current }) if order.expected.is_some() => {
-                return Err(lost_race(&edited_from, &document, &current));
+                let race = move || Ok(lost_race(&edited_from, &edited.document, &current));
+                return Err(compute(race).await?);
             }
             Err(ProposalError::Raced { current }) => {
                 base = await_newer(context, current, base.version).await;
@@ -181,19 +191,41 @@
     }
 }
 
-fn answer(
-    context: &AdminContext,
-    dry_run: bool,
-    version: ConfigVersion,
-    base: &ConfigurationSnapshot,
-    document: &ConfigurationDocument,
-) -> ChangeAnswer {
-    let differences = entry_differences(&base.document, document);
-    ChangeAnswer {
-        dry_run,
-        progress: context.ports.progress(version).into(),
-        differences: differences.into_iter().map(Into::into).collect(),
-        diff: text_difference(&base.document, document),
+/// A document after an edit, and what the edit changed.
+struct EditedDocument {
+    document: ConfigurationDocument,
+    differences: Vec<DifferenceBody>,
+    diff: String,
+}
+
+impl EditedDocument {
+    fn answer(self, context: &AdminContext, dry_run: bool, version: ConfigVersion) -> ChangeAnswer {
+        let progress = context.ports.progress(version).into();
+        ChangeAnswer { dry_run, progress, differences: self.differences, diff: self.diff }
+    }
+}
+
+fn edit_document<E>(edit: &E, base: &ConfigurationSnapshot) -> Result<EditedDocument, ApiProblem>
+where
+    E: Fn(&ConfigurationDocument) -> Result<ConfigurationDocument, ApiProblem>,
+{
+    let document = edit(&base.document)?;
+    check_document(&document).map_err(ApiProblem::faulty)?;
+    let differences = entry_differences(&base.document, &document);
+    let differences = differences.into_iter().map(Into::into).collect();
+    let diff = text_difference(&base.document, &document);
+    Ok(EditedDocument { document, differences, diff })
+}
+
+/// Runs a computation over whole documents apart from the threads that serve requests.
+pub(crate) async fn compute<F, T>(computation: F) -> Result<T, ApiProblem>
+where
+    F: FnOnce() -> Result<T, ApiProblem> + Send + 'static,
+    T: Send + 'static,
+{
+    match tokio::task::spawn_blocking(computation).await {
+        Ok(outcome) => outcome,
+        Err(error) => Err(HttpError::for_internal_error(error.to_string()).into()),
     }
 }
 
--- a/crates/admin/src/endpoints/configuration.rs
+++ b/crates/admin/src/endpoints/configuration.rs
@@ -17,7 +17,7 @@
 
 use super::{Api, text_response};
 use crate::access::require_role;
-use crate::changes::{ChangeOrder, make_change};
+use crate::changes::{ChangeOrder, compute, make_change};
 use crate::context::AdminContext;
 use crate::problem::ApiProblem;
 use crate::wire::{
@@ -62,8 +62,10 @@
     if order.expected.is_none() {
         return Err(ApiProblem::precondition_required());
     }
-    let document = read_document("document", body.as_str()?).map_err(ApiProblem::faulty)?;
-    let answer = make_change(request.context(), order, |_| Ok(document.clone())).await?;
+    let text = body.as_str()?.to_owned();
+    let read = move || read_document("document", &text).map_err(ApiProblem::faulty);
+    let document = compute(read).await?;
+    let answer = make_change(request.context(), order, move |_| Ok(document.clone())).await?;
     Ok(HttpResponseOk(answer))
 }
 
@@ -75,28 +77,8 @@
 ) -> Result<HttpResponseOk<CheckAnswer>, ApiProblem> {
     require_role(&request, OperatorRole::Read)?;
     let current = request.context().current();
-    let version = current.version.0;
-    let answer = match read_document("document", body.as_str()?) {
-        Ok(document) => CheckAnswer {
-            version,
-            faults: Vec::new(),
-            document: write_document(&document),
-            plain: plain(&document),
-            differences: entry_differences(&current.document, &document)
-                .into_iter()
-                .map(Into::into)
-                .collect(),
-            diff: text_difference(&current.document, &document),
-        },
-        Err(faults) => CheckAnswer {
-            version,
-            faults: faults.faults.into_iter().map(Into::into).collect(),
-            document: String::new(),
-            plain: Value::Null,
-            differences: Vec::new(),
-            diff: String::new(),
-        },
-    };
+    let text = body.as_str()?.to_owned();
+    let answer = compute(move || Ok(check_text(&current, &text))).await?;
     Ok(HttpResponseOk(answer))
 }
 
@@ -149,7 +131,7 @@
     if order.expected.is_none() {
         return Err(ApiProblem::precondition_required());
     }
-    let edit = |_: &_| Ok(earlier.document.clone());
+    let edit = move |_: &_| Ok(earlier.document.clone());
     Ok(HttpResponseOk(make_change(request.context(), order, edit).await?))
 }
 
@@ -157,6 +139,31 @@
     serde_json::to_value(document).expect("a document is plain data")
 }
 
+fn check_text(current: &ConfigurationSnapshot, text: &str) -> CheckAnswer {
+    let version = current.version.0;
+    match read_document("document", text) {
+        Ok(document) => CheckAnswer {
+            version,
+            faults: Vec::new(),
+            document: write_document(&document),
+            plain: plain(&document),
+            differences: entry_differences(&current.document, &document)
+                .into_iter()
+                .map(Into::into)
+                .collect(),
+            diff: text_difference(&current.document, &document),
+        },
+        Err(faults) => CheckAnswer {
+            version,
+            faults: faults.faults.into_iter().map(Into::into).collect(),
+            document: String::new(),
+            plain: Value::Null,
+            differences: Vec::new(),
+            diff: String::new(),
+        },
+    }
+}
+
 async fn kept_version(
     context: &AdminContext,
     path: VersionPath,
--- a/crates/admin/src/endpoints/entries.rs
+++ b/crates/admin/src/endpoints/entries.rs
@@ -52,7 +52,7 @@
     let summary = format!("put {}.{}", path.section, path.id);
     let order = ChangeOrder::read(&request, access, query.into_inner(), summary)?;
     let entry = Value::Object(body.into_inner());
-    let edit = |document: &ConfigurationDocument| {
+    let edit = move |document: &ConfigurationDocument| {
         let mut document = plain_document(document);
         document[&path.section][&path.id] = entry.clone();
         read_plain(&document)
@@ -77,7 +77,7 @@
     let summary = format!("changed {}.{}", path.section, path.id);
     let order = ChangeOrder::read(&request, access, query.into_inner(), summary)?;
     let fields = body.into_inner();
-    let edit = |document: &ConfigurationDocument| {
+    let edit = move |document: &ConfigurationDocument| {
         let mut document = plain_document(document);
         let entry = document[&path.section].get_mut(&path.id).and_then(Value::as_object_mut);
         let entry = entry.ok_or_else(|| missing(&path))?;
@@ -103,7 +103,7 @@
     let path = known_path(path)?;
     let summary = format!("removed {}.{}", path.section, path.id);
     let order = ChangeOrder::read(&request, access, query.into_inner(), summary)?;
-    let edit = |document: &ConfigurationDocument| {
+    let edit = move |document: &ConfigurationDocument| {
         let mut document = plain_document(document);
         let entries = document[&path.section].as_object_mut();
         if entries.and_then(|entries| entries.remove(&path.id)).is_none() {
--- a/crates/admin/src/endpoints/keys.rs
+++ b/crates/admin/src/endpoints/keys.rs
@@ -65,9 +65,10 @@
     let key = issue::random_key(parse_id::<KeyId>(&id)?);
     let team: TeamId = parse_id(&team)?;
     let order = secret_order(&request, access, query, format!("issued key {id}"))?;
-    let edit = |document: &_| issue::with_key(document, &key, &team, expires_at);
+    let shown = key.expose().to_owned();
+    let edit = move |document: &_| issue::with_key(document, &key, &team, expires_at);
     let change = make_change(request.context(), order, edit).await?;
-    Ok(HttpResponseOk(IssuedAnswer { id, key: key.expose().to_owned(), change }))
+    Ok(HttpResponseOk(IssuedAnswer { id, key: shown, change }))
 }
 
 /// Issue a key in the place of another, which keeps working for the overlap
@@ -89,10 +90,11 @@
     let context = request.context();
     let old_ends_at = context.wall_seconds() + overlap_seconds;
     let order = secret_order(&request, access, query, format!("rotated key {old} to {new_id}"))?;
+    let shown = key.expose().to_owned();
     let edit =
-        |document: &_| issue::with_key_rotated(document, &old, &key, old_ends_at, expires_at);
+        move |document: &_| issue::with_key_rotated(document, &old, &key, old_ends_at, expires_at);
     let change = make_change(context, order, edit).await?;
-    Ok(HttpResponseOk(IssuedAnswer { id: new_id, key: key.expose().to_owned(), change }))
+    Ok(HttpResponseOk(IssuedAnswer { id: new_id, key: shown, change }))
 }
 
 /// Withdraw a key
@@ -104,7 +106,8 @@
 ) -> Result<HttpResponseOk<ChangeAnswer>, ApiProblem> {
     let id: KeyId = parse_id(&path.into_inner().id)?;
     let summary = format!("withdrew key {id}");
-    change_key(&request, query, summary, |document| issue::with_key_withdrawn(document, &id)).await
+    let edit = move |document: &_| issue::with_key_withdrawn(document, &id);
+    change_key(&request, query, summary, edit).await
 }
 
 /// Set when a key expires
@@ -118,7 +121,7 @@
     let id: KeyId = parse_id(&path.into_inner().id)?;
     let expires_at = body.into_inner().expires_at;
     let summary = format!("set expiry of key {id}");
-    let edit = |document: &_| issue::with_key_expiry(document, &id, expires_at);
+    let edit = move |document: &_| issue::with_key_expiry(document, &id, expires_at);
     change_key(&request, query, summary, edit).await
 }
 
@@ -140,9 +143,10 @@
     };
     let key = issue::random_operator_key(id.clone());
     let order = secret_order(&request, access, query, format!("issued operator key {id}"))?;
-    let edit = |document: &_| Ok(issue::with_operator(document, &key, role));
+    let shown = key.expose().to_owned();
+    let edit = move |document: &_| Ok(issue::with_operator(document, &key, role));
     let change = make_change(request.context(), order, edit).await?;
-    Ok(HttpResponseOk(IssuedAnswer { id: id.to_string(), key: key.expose().to_owned(), change }))
+    Ok(HttpResponseOk(IssuedAnswer { id: id.to_string(), key: shown, change }))
 }
 
 async fn change_key<E>(
@@ -152,7 +156,10 @@
     edit: E,
 ) -> Result<HttpResponseOk<ChangeAnswer>, ApiProblem>
 where
-    E: Fn(&ConfigurationDocument) -> Result<ConfigurationDocument, ApiProblem>,
+    E: Fn(&ConfigurationDocument) -> Result<ConfigurationDocument, ApiProblem>
+        + Send
+        + Sync
+        + 'static,
 {
     let access = require_role(request, OperatorRole::Keys)?;
     let order = ChangeOrder::read(request, access, query.into_inner(), summary)?;
