--- a/crates/decisions/src/freshness.rs
+++ b/crates/decisions/src/freshness.rs
@@ -68,6 +68,7 @@
     seats: Vec<SeatState>,
     confirmed: BTreeMap<MemberSeat, LogPosition>,
     gone: BTreeSet<MemberSeat>,
+    replaced: BTreeSet<MemberSeat>,
     reached: BTreeMap<LogPosition, ClockInstant>,
     calls: BTreeMap<u64, (HostId, ClockInstant)>,
     leaving: bool,
@@ -84,6 +85,7 @@
             seats: Vec::new(),
             confirmed: BTreeMap::new(),
             gone: BTreeSet::new(),
+            replaced: BTreeSet::new(),
             reached: BTreeMap::new(),
             calls: BTreeMap::new(),
             leaving: false,
@@ -283,6 +285,7 @@
         };
         self.seats = lists.current().records.iter().map(|record| state(&record.seat)).collect();
         self.lists = lists.clone();
+        self.replaced = lists.replaced();
         let seats = lists.seats();
         self.confirmed.retain(|seat, _| seats.contains(seat));
         self.gone.retain(|seat| seats.contains(seat));
@@ -309,8 +312,11 @@
     fn count_confirmations(&mut self, now: ClockInstant) {
         let latest = self.reached.keys().next_back().copied();
         let floor = latest.unwrap_or_default().max(self.heads.in_force);
+        // The member lists of entries that are not followed yet are unknown.
+        let countable =
+            |position: &LogPosition| *position > floor && *position <= self.heads.followed;
         let positions: BTreeSet<LogPosition> =
-            self.confirmed.values().copied().filter(|position| *position > floor).collect();
+            self.confirmed.values().copied().filter(countable).collect();
         let blocked = positions.into_iter().rev().find(|position| self.is_blocked(*position));
         if let Some(position) = blocked {
             self.reached.insert(position, now);
@@ -318,8 +324,11 @@
     }
 
     fn is_blocked(&self, position: LogPosition) -> bool {
-        let counts =
-            |seat: &MemberSeat| self.gone.contains(seat) || self.has_confirmed(seat, position);
+        let counts = |seat: &MemberSeat| {
+            self.gone.contains(seat)
+                || self.replaced.contains(seat)
+                || self.has_confirmed(seat, position)
+        };
         self.lists.in_use(self.heads.in_force).iter().all(|list| list.is_blocked(counts))
     }
 
--- a/crates/decisions/src/shares/machine.rs
+++ b/crates/decisions/src/shares/machine.rs
@@ -3,16 +3,16 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dotterellane_protocol::ShareMessage;
 use dotterellane_protocol::shares::{CreditGrant, ShareContent};
+use dotterellane_protocol::{MemberSeat, ShareMessage};
 use dotterellane_settings::document::TeamEntry;
-use dotterellane_units::{ClockInstant, HostId, RequestId, RowVersion, TeamId, TokenCount};
+use dotterellane_units::{ClockInstant, HostId, RequestId, TeamId, TokenCount};
 use thiserror::Error;
 
 use super::credit::EntryCredit;
 use super::ledger::{LedgerCounters, TeamLedger};
 use super::pledges::{LedgerAddress, MemberPledge};
-use super::slots::{OwnedSlots, SlotMap, SlotOwner};
+use super::slots::{OwnedSlots, SlotMap, SlotProgress};
 use super::timings::ShareTimings;
 use super::waiting::{WaitEstimate, WaitingCharge, WaitingQueue};
 use crate::rendezvous::role_holder;
@@ -25,8 +25,10 @@
 pub struct ShareStanding {
     /// Whether the daemon knows all hard state that is in force.
     pub fresh: bool,
-    /// Newest version of the slot map that is in force.
-    pub slots_in_force: RowVersion,
+    /// Number of the newest change of the slot map that the daemon knows of.
+    pub slots_known: u64,
+    /// Number of the newest change of the slot map that is in force.
+    pub slots_in_force: u64,
 }
 
 /// What is to be done.
@@ -80,12 +82,23 @@
     Unreachable,
 }
 
+/// What one daemon holds of a team's share.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ShareHoldings {
+    /// Tokens that it could spend or grant.
+    pub tokens: TokenCount,
+    /// Rate at which it adds tokens, in thousandths of a token a second.
+    pub rate: u64,
+}
+
 #[derive(Debug)]
 struct TeamState {
     rates: Option<TeamEntry>,
     member: MemberPledge,
     credit: EntryCredit,
     waiting: WaitingQueue,
+    /// When the newest report was sent, and the newest charge that it includes.
+    reported: Option<(ClockInstant, u64)>,
     urgent: bool,
     ledger: Option<TeamLedger>,
     holder: Option<HostId>,
@@ -94,7 +107,7 @@
 /// All shares of one daemon.
 #[derive(Debug)]
 pub struct ShareMachine {
-    me: SlotOwner,
+    me: MemberSeat,
     timings: ShareTimings,
     standing: ShareStanding,
     slots: OwnedSlots,
@@ -104,7 +117,7 @@
 
 impl ShareMachine {
     /// Starts without teams, members and slots.
-    pub fn new(me: SlotOwner, timings: ShareTimings) -> Self {
+    pub fn new(me: MemberSeat, timings: ShareTimings) -> Self {
         Self {
             slots: OwnedSlots::new(me.clone(), timings),
             me,
@@ -117,6 +130,9 @@
 
     /// Sets the members that roles are assigned to.
     pub fn set_members(&mut self, serving: Vec<HostId>) {
+        if serving == self.serving {
+            return;
+        }
         self.serving = serving;
         for (team, state) in &mut self.teams {
             state.holder = role_holder(LEDGER_ROLE, team.as_str(), &self.serving).cloned();
@@ -143,15 +159,16 @@
             member: MemberPledge::new(self.timings, now),
             credit: EntryCredit::new(self.timings, now),
             waiting: WaitingQueue::default(),
+            reported: None,
             urgent: false,
             ledger: None,
             holder: role_holder(LEDGER_ROLE, team.as_str(), &self.serving).cloned(),
         }
     }
 
-    /// Follows a slot map read at `version`.
-    pub fn set_slots(&mut self, map: &SlotMap, version: RowVersion, now: ClockInstant) {
-        self.slots.follow(map, version);
+    /// Follows a newer slot map.
+    pub fn set_slots(&mut self, map: &SlotMap, now: ClockInstant) {
+        self.slots.follow(map);
         self.update_parts(now);
     }
 
@@ -159,20 +176,30 @@
     pub fn set_standing(&mut self, standing: ShareStanding, now: ClockInstant) -> Vec<ShareAction> {
         let mut actions = Vec::new();
         self.standing = standing;
+        if !self.knows_slots() {
+            self.teams.values_mut().for_each(|state| state.member.forget(now));
+        }
         if !standing.fresh {
             for state in self.teams.values_mut() {
-                state.member.forget(now);
                 state.refuse_if(|_| true, &ShareRefusal::Unreachable, &mut actions);
             }
         }
-        if self.slots.advance(standing.slots_in_force, now) {
-            self.update_parts(now);
-            self.teams.values_mut().for_each(|state| state.member.fill());
+        match self.slots.advance(standing.slots_in_force, now) {
+            SlotProgress::None => {}
+            SlotProgress::Some => self.update_parts(now),
+            SlotProgress::First => {
+                self.update_parts(now);
+                self.teams.values_mut().for_each(|state| state.member.fill());
+            }
         }
-        self.update_parts(now);
         actions
     }
 
+    /// Tells whether no slot can have moved to another owner without this daemon's knowledge.
+    fn knows_slots(&self) -> bool {
+        self.standing.fresh && self.standing.slots_known <= self.slots.change()
+    }
+
     fn update_parts(&mut self, now: ClockInstant) {
         for state in self.teams.values_mut() {
             let part = state.rates.as_ref().map(|rates| self.slots.part_of(rates));
@@ -199,8 +226,8 @@
                 request,
                 tokens,
                 deadline,
-                asked: now,
                 judged: now,
+                expected: None,
             });
             state.urgent = true;
         }
@@ -254,7 +281,7 @@
     /// Takes a message of another daemon.
     pub fn deliver(
         &mut self,
-        from: &SlotOwner,
+        from: &MemberSeat,
         message: &ShareMessage,
         now: ClockInstant,
     ) -> Vec<ShareAction> {
@@ -280,6 +307,24 @@
         ledgers.map(TeamLedger::counters).fold(LedgerCounters::default(), LedgerCounters::plus)
     }
 
+    /// Returns what this daemon holds of a team's share now, if it is as `fresh` as told.
+    pub fn holdings(&self, team: &TeamId, fresh: bool, now: ClockInstant) -> ShareHoldings {
+        let Some(state) = self.teams.get(team) else { return ShareHoldings::default() };
+        let mut holdings = ShareHoldings { tokens: state.credit.clone().settle(now), rate: 0 };
+        let mut member = state.member.clone();
+        let spendable = member.settle(now);
+        if member.ledger().is_none() && fresh {
+            holdings.tokens += spendable;
+            holdings.rate += member.part().rate.milli_tokens();
+        }
+        if let Some(ledger) = &state.ledger {
+            let (level, rate) = ledger.clone().pooled(now);
+            holdings.tokens += level;
+            holdings.rate += rate.milli_tokens();
+        }
+        holdings
+    }
+
     /// Returns the number of slots in use.
     pub fn usable_slots(&self) -> usize {
         self.slots.usable_count()
@@ -308,13 +353,13 @@
 
     fn handle(
         &mut self,
-        from: &SlotOwner,
+        from: &MemberSeat,
         message: &ShareMessage,
         now: ClockInstant,
         actions: &mut Vec<ShareAction>,
     ) {
         let team = &message.team;
-        let fresh = self.standing.fresh;
+        let knows_slots = self.knows_slots();
         let Some(state) = self.teams.get_mut(team) else { return };
         let address = LedgerAddress { host: from.host.clone(), epoch: message.epoch };
         let ledger = state.ledger.as_mut().filter(|ledger| ledger.epoch() == message.epoch);
@@ -322,7 +367,7 @@
         match &message.content {
             ShareContent::PledgeRequest(request) => {
                 let followed = state.holder.as_ref() == Some(&from.host);
-                if fresh && followed && state.rates.is_some() {
+                if knows_slots && followed && state.rates.is_some() {
                     let pledge = state.member.answer(&address, *request, now);
                     let answer =
                         pledge.map(|pledge| (from.host.clone(), ShareContent::Pledge(pledge)));
@@ -341,13 +386,15 @@
                 }
             }
             ShareContent::Grant(grant) => {
-                if state.credit.accept(&address, grant, now) {
+                let mine = grant.entry == self.me.incarnation;
+                if mine && state.credit.accept(&address, grant, now) {
                     state.serve(team, now, actions);
                     state.judge_by(grant, now, actions);
                 }
             }
             ShareContent::Recall => {
-                if state.member.ledger() == Some(&address) && state.waiting.is_empty() {
+                // What is left is too little for the next charge, or nothing waits.
+                if state.member.ledger() == Some(&address) {
                     state.credit.give_back(TokenCount(0), now);
                     state.urgent = true;
                 }
@@ -365,7 +412,9 @@
         let timings = self.timings;
         let Some(state) = self.teams.get_mut(team) else { return };
         state.member.settle(now);
-        state.credit.follow(state.member.ledger());
+        if state.credit.follow(state.member.ledger()) {
+            state.waiting.forget_estimates();
+        }
         state.credit.advance_demand(now);
         if state.member.ledger().is_none() {
             let refund = state.credit.take_refund();
@@ -444,8 +493,10 @@
 
     fn judge_by(&mut self, grant: &CreditGrant, now: ClockInstant, actions: &mut Vec<ShareAction>) {
         let CreditGrant { sent, rate, burst, .. } = *grant;
-        if let Some(wait) = grant.wait {
-            let estimate = WaitEstimate { asked_until: sent, wait, rate, burst };
+        // A wait that answers an older report does not tell of the charges since.
+        let reported = self.reported.filter(|(report, _)| *report == sent);
+        if let Some((wait, (_, last))) = grant.wait.zip(reported) {
+            let estimate = WaitEstimate { last, wait, rate, burst };
             self.judge(&estimate, now, actions);
         }
     }
@@ -465,7 +516,8 @@
         let missing = self.waiting.total() - self.member.settle(now);
         if let Some(wait) = part.rate.time_for(missing) {
             let (rate, burst) = (part.rate, part.burst);
-            self.judge(&WaitEstimate { asked_until: now, wait, rate, burst }, now, actions);
+            let last = self.waiting.last_number();
+            self.judge(&WaitEstimate { last, wait, rate, burst }, now, actions);
         }
     }
 
@@ -489,7 +541,9 @@
             return;
         }
         self.urgent = false;
-        let content = ShareContent::Report(self.credit.report(need, now));
+        let report = self.credit.report(need, now);
+        self.reported = Some((report.sent, self.waiting.last_number()));
+        let content = ShareContent::Report(report);
         let message = ShareMessage { team: team.clone(), epoch: ledger.epoch, content };
         actions.push(ShareAction::Send { to: ledger.host, message });
     }
--- a/crates/dotterellane/src/cli.rs
+++ b/crates/dotterellane/src/cli.rs
@@ -2,6 +2,8 @@
 
 pub mod operators;
 
+use std::path::PathBuf;
+
 use clap::{Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 
@@ -45,6 +47,12 @@
     /// The operators' commands
     #[command(flatten)]
     Operator(OperatorCommand),
+    /// Run one daemon
+    Serve {
+        /// Settings of the daemon, in YAML
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
     /// Print shell completions
     Completions {
         /// Shell that they are for
--- a/crates/dotterellane/src/lib.rs
+++ b/crates/dotterellane/src/lib.rs
@@ -2,8 +2,11 @@
 
 pub mod cli;
 pub mod commands;
+mod crashes;
 pub mod daemon;
 pub mod demo;
 pub mod exit_codes;
 pub mod logging;
+pub mod overview;
+pub mod serve;
 pub mod signals;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod envelope;
 pub mod gossip;
 pub mod placement;
+pub mod quarantine;
 pub mod shares;
 
 use serde::{Deserialize, Serialize};
@@ -22,6 +23,7 @@
     LogEntry, LogHeads, LogPosition, MemberRecord, MemberSeat,
 };
 pub use placement::PlacementMessage;
+pub use quarantine::{CrashReport, RequestFingerprint};
 pub use shares::ShareMessage;
 
 /// Version of the inner protocol; a datagram with another one is refused and counted.
@@ -42,4 +44,6 @@
     Dispatch(DispatchMessage),
     /// Wakes and keepers of runners.
     Placement(PlacementMessage),
+    /// Crashes of upstreams.
+    Quarantine(CrashReport),
 }
