Keep withdrawn keys withdrawn, and name the provider of TLS

Cause: restoring an earlier version, or sending an old file, made keys valid again that had been withdrawn since, and brought removed operators back. A server with a certificate panicked at its start: two providers of cryptography are linked and the process has no default. Change: restoring keeps keys and operators; a change that makes a withdrawn key valid is a fault. The certificate is read with a named provider, and can be replaced while serving. Conclusion: what was withdrawn stays so, and TLS serves.

--- a/crates/admin/console/console.js
+++ b/crates/admin/console/console.js
@@ -340,7 +340,7 @@
   const rows = answer.body.map((entry) => {
     const restore = make("button", { type: "button" }, "Restore");
     restore.addEventListener("click", async () => {
-      if (!confirm(`Make the content of version ${entry.version} the newest one?`)) return;
+      if (!confirm(`Make the content of version ${entry.version} the newest one? Keys and operators stay as they are.`)) return;
       const done = await ask("POST", `/v1/configuration/${entry.version}/restore?wait_seconds=0`, undefined, { "if-match": `"${answer.body[0].version}"` });
       await loadDocument();
       drawPending();
--- a/crates/admin/src/changes.rs
+++ b/crates/admin/src/changes.rs
@@ -6,7 +6,7 @@
 use dotterellane_fleet::{ConfigurationSnapshot, ProposalError, ProposedChange};
 use dotterellane_settings::difference::{entry_differences, merge_documents, text_difference};
 use dotterellane_settings::document::ConfigurationDocument;
-use dotterellane_settings::{check_document, write_document};
+use dotterellane_settings::{check_successor, write_document};
 use dotterellane_units::{ConfigVersion, RequestId};
 use dropshot::{HttpError, RequestContext};
 use spdlog::info;
@@ -210,7 +210,7 @@
     E: Fn(&ConfigurationDocument) -> Result<ConfigurationDocument, ApiProblem>,
 {
     let document = edit(&base.document)?;
-    check_document(&document).map_err(ApiProblem::faulty)?;
+    check_successor(&base.document, &document).map_err(ApiProblem::faulty)?;
     let differences = entry_differences(&base.document, &document);
     let differences = differences.into_iter().map(Into::into).collect();
     let diff = text_difference(&base.document, &document);
--- a/crates/admin/src/endpoints/configuration.rs
+++ b/crates/admin/src/endpoints/configuration.rs
@@ -117,7 +117,7 @@
     Ok(HttpResponseOk(request.context().ports.progress(version).into()))
 }
 
-/// Make the content of an earlier version the newest one
+/// Make the content of an earlier version the newest one; keys and operators stay as they are
 #[endpoint { method = POST, path = "/v1/configuration/{version}/restore" }]
 async fn version_restore(
     request: RequestContext<Arc<AdminContext>>,
@@ -131,7 +131,11 @@
     if order.expected.is_none() {
         return Err(ApiProblem::precondition_required());
     }
-    let edit = move |_: &_| Ok(earlier.document.clone());
+    let edit = move |document: &ConfigurationDocument| {
+        // An earlier content must not bring back keys that were withdrawn or replaced since.
+        let (keys, operators) = (document.keys.clone(), document.operators.clone());
+        Ok(ConfigurationDocument { keys, operators, ..earlier.document.clone() })
+    };
     Ok(HttpResponseOk(make_change(request.context(), order, edit).await?))
 }
 
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operators' side: administration API and console.
 
 mod access;
+mod certificate;
 mod changes;
 mod console;
 mod context;
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use dotterellane_fleet::AdministrationPorts;
@@ -12,7 +13,8 @@
 use slog::{Discard, Logger, o};
 use thiserror::Error;
 
-use crate::context::{AdminContext, AdminOptions};
+use crate::certificate::server_config;
+use crate::context::{AdminContext, AdminOptions, AdminTls};
 use crate::overview::FleetOverview;
 use crate::{console, endpoints};
 
@@ -31,6 +33,14 @@
         /// What was seen.
         cause: String,
     },
+    /// The certificate or its key cannot be used.
+    #[error("reading the operators' certificate from {}: {cause}", path.display())]
+    Certificate {
+        /// Which file.
+        path: PathBuf,
+        /// What was seen.
+        cause: String,
+    },
     /// The metrics clash with others of the registry.
     #[error("registering the operators' metrics: {cause}")]
     Metrics {
@@ -56,6 +66,17 @@
         self.0.local_addr()
     }
 
+    /// Takes another certificate for new connections.
+    ///
+    /// # Errors
+    /// Fails if the certificate cannot be used, or the server had none; the old one stays.
+    pub async fn replace_certificate(&self, tls: &AdminTls) -> Result<(), AdminError> {
+        let config = ConfigTls::Dynamic(server_config(tls)?);
+        let path = tls.certificate_file.clone();
+        let replaced = self.0.refresh_tls(&config).await;
+        replaced.map_err(|cause| AdminError::Certificate { path, cause })
+    }
+
     /// Answers the requests that are open and ends.
     ///
     /// # Errors
@@ -90,10 +111,7 @@
     O: Fn() -> FleetOverview + Send + Sync + 'static,
 {
     let listen = options.listen;
-    let tls = options.tls.as_ref().map(|tls| ConfigTls::AsFile {
-        cert_file: tls.certificate_file.clone(),
-        key_file: tls.key_file.clone(),
-    });
+    let tls = options.tls.as_ref().map(server_config).transpose()?.map(ConfigTls::Dynamic);
     let config = ConfigDropshot {
         bind_address: listen,
         default_request_body_max_bytes: MAX_BODY_BYTES,
--- a/crates/admin/tests/access.rs
+++ b/crates/admin/tests/access.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
-use dotterellane_settings::keys::CallerKey;
+use dotterellane_admin::{AdminOptions, FleetOverview};
+use dotterellane_settings::daemon::FirstOperator;
+use dotterellane_settings::keys::{CallerKey, OperatorKey};
 use googletest::prelude::*;
 use http::{Method, StatusCode};
 use serde_json::json;
 
-use support::{TestBench, bearer};
+use support::{FakeFleet, TestBench, bearer, loopback_options, sound_document};
 
 const ISSUE: &str = r#"{"id": "yard", "team": "freight"}"#;
 
@@ -114,6 +116,25 @@
     expect_that!(answer.status, eq(StatusCode::UNAUTHORIZED));
 }
 
+#[gtest]
+#[tokio::test]
+async fn access_first_operator() {
+    let mut document = sound_document();
+    document.operators.clear();
+    let key = OperatorKey::issue("first".parse().unwrap(), [7; 32]);
+    let first_operator = FirstOperator { id: key.id().clone(), digest: key.digest() };
+    let options = AdminOptions { first_operator: Some(first_operator), ..loopback_options() };
+    let keys = [key.expose().to_owned(), String::new(), String::new()];
+    let fleet = FakeFleet::holding(document);
+    let bench = TestBench::serve_fleet(fleet, options, FleetOverview::default, keys);
+    let order = r#"{"role": "all"}"#;
+    let issued = bench.send_all(Method::POST, "/v1/operators/eve/key", order).await;
+    expect_that!(issued.status, eq(StatusCode::OK));
+    // With an operator listed, the settings' one can do nothing more.
+    let late = bench.send_all(Method::GET, "/v1/configuration", "").await;
+    expect_that!(late.status, eq(StatusCode::UNAUTHORIZED));
+}
+
 #[gtest]
 #[tokio::test]
 async fn access_removed_elsewhere() {
--- a/crates/admin/tests/configuration.rs
+++ b/crates/admin/tests/configuration.rs
@@ -211,6 +211,37 @@
     expect_that!(missing.status, eq(StatusCode::NOT_FOUND));
 }
 
+#[gtest]
+#[tokio::test]
+async fn restore_keeps_keys_withdrawn() {
+    let bench = TestBench::start();
+    bench.send_all(Method::PUT, "/v1/entries/teams/freight", RATE_CHANGE).await;
+    bench.send_all(Method::POST, "/v1/keys/depot/withdraw", "").await;
+    bench.send_all(Method::POST, "/v1/operators/eve/key", r#"{"role": "read"}"#).await;
+    let bearer = bearer(&bench.all_key);
+    let headers = [("authorization", bearer.as_str()), ("if-match", "4")];
+    let restored = bench.send(Method::POST, "/v1/configuration/1/restore", &headers, "").await;
+    expect_that!(restored.status, eq(StatusCode::OK));
+    let document = bench.document();
+    expect_that!(document.keys.values().next().unwrap().withdrawn, eq(true));
+    expect_that!(document.operators.len(), eq(4));
+    expect_that!(document.teams.values().next().unwrap().rate.to_string(), eq("1500/s"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn configuration_put_revives_key() {
+    let bench = TestBench::start();
+    bench.send_all(Method::POST, "/v1/keys/depot/withdraw", "").await;
+    let put = put_after(&bench, "2", "withdrawn: true", "withdrawn: false").await;
+    expect_that!(put.status, eq(StatusCode::UNPROCESSABLE_ENTITY));
+    expect_that!(put.json()["faults"][0]["path"], eq(&json!("keys.depot.withdrawn")));
+    let body = r#"{"withdrawn": false}"#;
+    let patch = bench.send_all(Method::PATCH, "/v1/entries/keys/depot", body).await;
+    expect_that!(patch.status, eq(StatusCode::UNPROCESSABLE_ENTITY));
+    expect_that!(bench.version(), eq(2));
+}
+
 #[gtest]
 #[tokio::test]
 async fn metrics_of_changes() {
--- a/crates/admin/tests/support/mod.rs
+++ b/crates/admin/tests/support/mod.rs
@@ -48,6 +48,19 @@
 }
 
 impl FakeFleet {
+    /// Starts with `document` as version 1.
+    pub fn holding(document: ConfigurationDocument) -> Self {
+        let mut fleet = Self::default();
+        fleet.accept(&ProposedChange {
+            change: dotterellane_units::RequestId(0),
+            expected: ConfigVersion(0),
+            operator: "ana".parse().unwrap(),
+            summary: "first".to_owned(),
+            document,
+        });
+        fleet
+    }
+
     fn accept(&mut self, proposed: &ProposedChange) -> ChangeRecord {
         let version = ConfigVersion(self.versions.len() as u64 + 1);
         let record = ChangeRecord {
@@ -164,21 +177,24 @@
         let all_key = add_operator(&mut document, "ana", OperatorRole::All);
         let keys_key = add_operator(&mut document, "kim", OperatorRole::Keys);
         let read_key = add_operator(&mut document, "rod", OperatorRole::Read);
-        let mut fleet = FakeFleet::default();
-        fleet.accept(&ProposedChange {
-            change: dotterellane_units::RequestId(0),
-            expected: ConfigVersion(0),
-            operator: "ana".parse().unwrap(),
-            summary: "first".to_owned(),
-            document,
-        });
+        let fleet = FakeFleet::holding(document);
+        let options = loopback_options();
+        Self::serve_fleet(fleet, options, overview, [all_key, keys_key, read_key])
+    }
+
+    /// Serves a fleet with given options.
+    pub fn serve_fleet<O>(
+        fleet: FakeFleet,
+        options: AdminOptions,
+        overview: O,
+        keys: [String; 3],
+    ) -> Self
+    where
+        O: Fn() -> FleetOverview + Send + Sync + 'static,
+    {
+        let [all_key, keys_key, read_key] = keys;
         let fleet = Arc::new(Mutex::new(fleet));
         let ports = fleet_ports(&fleet);
-        let options = AdminOptions {
-            listen: "127.0.0.1:0".parse().unwrap(),
-            tls: None,
-            first_operator: None,
-        };
         let registry = Registry::new();
         let server = serve(options, ports, overview, registry.clone()).unwrap();
         Self { fleet, server, registry, all_key, keys_key, read_key }
@@ -217,6 +233,11 @@
     }
 }
 
+/// Returns options of a server on a loopback port that the system chooses.
+pub fn loopback_options() -> AdminOptions {
+    AdminOptions { listen: "127.0.0.1:0".parse().unwrap(), tls: None, first_operator: None }
+}
+
 pub fn bearer(key: &str) -> String {
     format!("Bearer {key}")
 }
--- a/crates/dotterellane/tests/operators.rs
+++ b/crates/dotterellane/tests/operators.rs
@@ -5,12 +5,14 @@
 
 use std::path::{Path, PathBuf};
 
-use dotterellane_settings::keys::CallerKey;
+use dotterellane_admin::{AdminOptions, AdminTls, FleetOverview};
+use dotterellane_settings::document::{OperatorEntry, OperatorRole};
+use dotterellane_settings::keys::{CallerKey, OperatorKey};
 use dotterellane_settings::write_document;
 use googletest::prelude::*;
 use tokio::process::Command;
 
-use support::{TestBench, sound_document};
+use support::{FakeFleet, TestBench, loopback_options, sound_document};
 
 /// What a command printed and how it ended.
 #[derive(Debug)]
@@ -198,3 +200,31 @@
     expect_that!(no_key.errors, contains_substring("the key is malformed"));
     expect_that!(no_key.errors, not(contains_substring("not a key")));
 }
+
+#[gtest]
+#[tokio::test]
+async fn connection_over_tls() {
+    let certificates = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/certificates");
+    let tls = AdminTls {
+        certificate_file: certificates.join("server.pem"),
+        key_file: certificates.join("server.key"),
+    };
+    let mut document = sound_document();
+    let key = OperatorKey::issue("tess".parse().unwrap(), [9; 32]);
+    let entry = OperatorEntry { role: OperatorRole::All, digest: key.digest() };
+    document.operators.insert(key.id().clone(), entry);
+    let options = AdminOptions { tls: Some(tls), ..loopback_options() };
+    let keys = [key.expose().to_owned(), String::new(), String::new()];
+    let fleet = FakeFleet::holding(document);
+    let bench = TestBench::serve_fleet(fleet, options, FleetOverview::default, keys);
+    let server = format!("https://{}", bench.server.local_addr());
+    let trusted = certificates.join("ca.pem");
+    let arguments = ["config", "get", "--server", &server, "--ca-file", trusted.to_str().unwrap()];
+    let got = run(&bench, &arguments).await;
+    expect_that!(got.output, starts_with("# version 1\n"), "{}", got.errors);
+    // A certificate that signed nothing here is not trusted.
+    let other = certificates.join("server.pem");
+    let arguments = ["config", "get", "--server", &server, "--ca-file", other.to_str().unwrap()];
+    let refused = run(&bench, &arguments).await;
+    expect_that!(refused.code, eq(1));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use difference::{DifferenceKind, EntryDifference};
 pub use fault::{DocumentFault, DocumentFaults};
-pub use validation::{check_document, read_document, write_document};
+pub use validation::{check_document, check_successor, read_document, write_document};
--- a/crates/settings/src/rules.rs
+++ b/crates/settings/src/rules.rs
@@ -75,6 +75,22 @@
     checker.faults
 }
 
+/// Returns every breach of a rule on the change from one document to the next.
+pub(crate) fn check_change(
+    older: &ConfigurationDocument,
+    newer: &ConfigurationDocument,
+) -> Vec<DocumentFault> {
+    let revived = newer.keys.iter().filter(|(id, key)| {
+        let before = older.keys.get(*id);
+        before.is_some_and(|before| before.withdrawn && !key.withdrawn)
+    });
+    let help = "withdrawn: true, or another id with a new secret";
+    let fault = |id| {
+        DocumentFault::new(format!("keys.{id}.withdrawn"), "a withdrawn key stays withdrawn", help)
+    };
+    revived.map(|(id, _)| fault(id)).collect()
+}
+
 struct RuleChecker<'a> {
     document: &'a ConfigurationDocument,
     names: &'a KnownNames,
--- a/crates/settings/src/validation.rs
+++ b/crates/settings/src/validation.rs
@@ -48,6 +48,19 @@
     if faults.is_empty() { Ok(()) } else { Err(DocumentFaults::new("document", "", faults)) }
 }
 
+/// Checks a document that is to follow another one.
+///
+/// # Errors
+/// Gives every fault of the newer document and of the change, without lines.
+pub fn check_successor(
+    older: &ConfigurationDocument,
+    newer: &ConfigurationDocument,
+) -> Result<(), DocumentFaults> {
+    let mut faults = rules::check_rules(newer, &KnownNames::of(newer));
+    faults.extend(rules::check_change(older, newer));
+    if faults.is_empty() { Ok(()) } else { Err(DocumentFaults::new("document", "", faults)) }
+}
+
 /// Writes a document as YAML.
 ///
 /// # Panics
