Look for secrets in what a whole fleet shows

Cause: secrets had been looked for on the operators' side alone. Change: a test runs the demo with every step logged, issues a key, calls with it, with a forged one and after withdrawing it, and searches logs, metrics, errors and documents for four secrets.

--- /dev/null
+++ b/crates/dotterellane/tests/demo_secrets.rs
@@ -0,0 +1,117 @@
+//! No key's secret reaches the logs, metrics or errors of a whole fleet.
+
+#[path = "../../admin/tests/support/mod.rs"]
+mod support;
+
+use std::net::SocketAddr;
+use std::process::Stdio;
+
+use googletest::prelude::*;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader};
+use tokio::process::{Child, Command};
+
+use support::{TestAnswer, bearer, send};
+
+/// The demo's fleet, in a process of its own that logs every step.
+struct RunningDemo {
+    process: Child,
+    outline: Value,
+}
+
+impl RunningDemo {
+    async fn start() -> Self {
+        let mut process = Command::new(env!("CARGO_BIN_EXE_dotterellane"))
+            .args(["demo", "--json", "--log-level", "debug", "--log-format", "json"])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        let output = process.stdout.take().unwrap();
+        BufReader::new(output).read_line(&mut line).await.unwrap();
+        Self { outline: serde_json::from_str(&line).unwrap(), process }
+    }
+
+    /// Ends the fleet and returns its log.
+    async fn end(mut self) -> String {
+        self.process.start_kill().unwrap();
+        let mut log = String::new();
+        let mut errors = self.process.stderr.take().unwrap();
+        errors.read_to_string(&mut log).await.unwrap();
+        log
+    }
+
+    fn text(&self, pointer: &str) -> &str {
+        self.outline.pointer(pointer).and_then(Value::as_str).unwrap()
+    }
+
+    fn address(&self, pointer: &str) -> SocketAddr {
+        self.text(pointer).trim_start_matches("http://").parse().unwrap()
+    }
+
+    async fn operate(&self, method: Method, path: &str, body: &str) -> TestAnswer {
+        let key = bearer(self.text("/operator_key"));
+        let headers = [("authorization", key.as_str())];
+        send(self.address("/console"), method, path, &headers, body).await
+    }
+
+    async fn call(&self, key: &str) -> TestAnswer {
+        let key = bearer(key);
+        let headers = [("authorization", key.as_str()), ("content-type", "application/json")];
+        let body = json!({"model": "notice-1b", "prompt": "late", "max_tokens": 4}).to_string();
+        let entry = self.address("/entries/0");
+        send(entry, Method::POST, "/v1/completions", &headers, &body).await
+    }
+}
+
+fn secret_part(key: &str) -> String {
+    key.rsplit('_').next().unwrap().to_owned()
+}
+
+#[gtest]
+#[tokio::test]
+async fn secrets_stay_out_of_fleet() {
+    let demo = RunningDemo::start().await;
+    let caller_key = demo.text("/teams/0/key").to_owned();
+    let issue = r#"{"id": "yard", "team": "coaches"}"#;
+    let issued = demo.operate(Method::POST, "/v1/keys?wait_seconds=30", issue).await.json();
+    expect_that!(issued["change"]["progress"]["in_force"], eq(&json!(true)));
+    let issued_key = issued["key"].as_str().unwrap().to_owned();
+    let mut shown = Vec::new();
+
+    let served = demo.call(&issued_key).await;
+    expect_that!(served.status, eq(StatusCode::OK), "{}", served.text);
+    shown.push(served.text);
+    shown.push(demo.call(&caller_key).await.text);
+    // One digit wrong, so that a log of what was presented would show the rest.
+    let last = if caller_key.ends_with('0') { '1' } else { '0' };
+    let forged = format!("{}{last}", &caller_key[..caller_key.len() - 1]);
+    let refused = demo.call(&forged).await;
+    expect_that!(refused.status, eq(StatusCode::UNAUTHORIZED));
+    shown.push(refused.text);
+
+    let withdraw = "/v1/keys/yard/withdraw?wait_seconds=30";
+    let withdrawn = demo.operate(Method::POST, withdraw, "").await;
+    expect_that!(withdrawn.json()["progress"]["in_force"], eq(&json!(true)));
+    shown.push(withdrawn.text);
+    let refused = demo.call(&issued_key).await;
+    expect_that!(refused.status, eq(StatusCode::UNAUTHORIZED));
+    shown.push(refused.text);
+    for path in ["/metrics", "/v1/overview", "/v1/history", "/v1/configuration", "/v1/keys"] {
+        shown.push(demo.operate(Method::GET, path, "").await.text);
+    }
+
+    let operator_key = demo.text("/operator_key").to_owned();
+    let log = demo.end().await;
+    expect_that!(log, contains_substring("accepted"));
+    shown.push(log);
+    for key in [&caller_key, &forged, &issued_key, &operator_key] {
+        let secret = secret_part(key);
+        for text in &shown {
+            expect_that!(text, not(contains_substring(secret.as_str())));
+        }
+    }
+}
