--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod load;
 pub mod output;
 pub mod regression;
+pub mod shares;
 pub mod slopes;
 pub mod target;
 pub mod trace;
--- a/crates/decisions/src/shares/fleet_model.rs
+++ b/crates/decisions/src/shares/fleet_model.rs
@@ -136,6 +136,8 @@
     timings: ShareTimings,
     now: u64,
     random: Pcg64Mcg,
+    /// Apart from `random`, so that every policy gets the same load.
+    arrivals: Pcg64Mcg,
     events: BTreeMap<(u64, u64), ModelEvent>,
     next_event: u64,
     hosts: BTreeMap<HostId, ModelHost>,
@@ -167,6 +169,7 @@
             timings,
             now: START,
             random: Pcg64Mcg::seed_from_u64(seed),
+            arrivals: Pcg64Mcg::seed_from_u64(!seed),
             events: BTreeMap::new(),
             next_event: 0,
             hosts: BTreeMap::new(),
@@ -579,9 +582,9 @@
 
     fn arrive(&mut self, number: usize) {
         let Some(load) = self.loads.get(number).cloned().flatten() else { return };
-        let gap = -(1.0 - self.random.random_range(0.0..1.0_f64)).ln() / load.requests;
+        let gap = -(1.0 - self.arrivals.random_range(0.0..1.0_f64)).ln() / load.requests;
         self.schedule(Duration::from_secs_f64(gap), ModelEvent::Arrival(number));
-        let tokens = TokenCount(self.random.random_range(load.tokens.0..=load.tokens.1));
+        let tokens = TokenCount(self.arrivals.random_range(load.tokens.0..=load.tokens.1));
         let Some(host) = self.pick_host(&load) else { return };
         let tally = self.tallies.entry(load.team.clone()).or_default();
         let in_rate = tally.note_sent(tokens, self.now, load.shaped);
@@ -607,7 +610,7 @@
         if total <= 0.0 {
             return choices.first().map(|(host, _)| host.clone());
         }
-        let mut point = self.random.random_range(0.0..total);
+        let mut point = self.arrivals.random_range(0.0..total);
         let found = choices.iter().find(|(_, weight)| {
             point -= weight;
             point < 0.0
