Keep 400 members fresh through an outage of the table

Cause: at 400 members, every second answer with hearings was too slow for a majority to be heard within 3 s once the table was down: not all daemons stayed fresh. A host whose clock was set back started below its listed incarnation and could never be fresh. Change: every answer carries the hearings while the table's evidence is late; confirmations of what is in force are not sent; a daemon starts above its listed incarnation. A simulated fleet of 400 with bounds from the target.

--- a/crates/decisions/src/freshness.rs
+++ b/crates/decisions/src/freshness.rs
@@ -338,7 +338,10 @@
         let level = |state: &SeatState| {
             state.heard.map_or(AgeLevel::UNHEARD, |at| AgeLevel::covering(now.since(at)))
         };
-        let confirms = records.iter().map(|record| self.has_confirmed(&record.seat, confirmed));
+        // What is in force needs no confirmations any more.
+        let counted = if confirmed > self.heads.in_force { records.len() } else { 0 };
+        let seats = records.iter().take(counted).map(|record| &record.seat);
+        let confirms = seats.map(|seat| self.has_confirmed(seat, confirmed));
         HeardReport {
             list: self.lists.current().made_at,
             levels: self.seats.iter().map(level).collect(),
@@ -358,6 +361,9 @@
             state.heard = state.heard.max(heard);
             state.leaving |= bit(&report.leaving_bits, index);
         }
+        if report.confirmed <= self.heads.in_force {
+            return;
+        }
         for index in 0..self.seats.len() {
             if bit(&report.confirmed_bits, index) {
                 let seat = self.lists.current().records[index].seat.clone();
--- a/crates/decisions/src/rounds.rs
+++ b/crates/decisions/src/rounds.rs
@@ -32,7 +32,8 @@
 /// One round in so many goes to any listed peer, whether it was heard lately or not.
 const PROBE_EVERY: u64 = 8;
 
-/// Largest list of which every round carries the hearings; a longer one does every second time.
+/// Largest list of which every answer carries the hearings; of a longer one every second does,
+/// or every one while the table's evidence is late.
 const SMALL_LIST: usize = 64;
 
 /// What a daemon does in one round.
@@ -72,10 +73,12 @@
     pub fn plan(&mut self, machine: &FreshnessMachine, now: ClockInstant) -> RoundPlan {
         self.round += 1;
         self.choose_readers(machine.lists().current());
+        // Without the table freshness rests on what peers heard.
+        let cold = machine.table_age(now).is_none_or(|age| age > LATE_AGE);
         let members = machine.lists().current().records.len();
         RoundPlan {
             ask: self.choose_peer(machine, now),
-            wants_heard: members <= SMALL_LIST || self.round.is_multiple_of(2),
+            wants_heard: cold || members <= SMALL_LIST || self.round.is_multiple_of(2),
             reads_table: self.is_read_due(machine, now),
         }
     }
--- a/crates/decisions/tests/freshness/main.rs
+++ b/crates/decisions/tests/freshness/main.rs
@@ -118,3 +118,34 @@
 fn orders_two_hosts() {
     check_orders(2, 3);
 }
+
+/// Bytes a second that the target leaves a daemon for all control, sent and received.
+const CONTROL_BYTES: u64 = 13_000;
+
+/// Bytes that the envelope, UDP and IP add to a message at most.
+const ENVELOPE_BYTES: u64 = 120;
+
+/// Reads a second that the platform's table handles.
+const TABLE_READS: u64 = 2_000;
+
+#[gtest]
+fn rounds_400_members() {
+    let (members, seconds) = (400, 3);
+    let mut simulation = Simulation::listed(members, 4);
+    simulation.run(Duration::from_secs(6)).unwrap();
+    for table_up in [true, false] {
+        simulation.table_up = table_up;
+        simulation.run(Duration::from_secs(4)).unwrap();
+        let (traffic, calls) = (simulation.traffic(), simulation.table_calls());
+        simulation.run(Duration::from_secs(seconds)).unwrap();
+        expect_that!(simulation.all_fresh(), eq(true));
+        let calls = (simulation.table_calls() - calls) / seconds;
+        let messages = simulation.traffic().0 - traffic.0;
+        let bytes = simulation.traffic().1 - traffic.1 + messages * ENVELOPE_BYTES;
+        // Each message is sent by one daemon and received by another.
+        let bytes = 2 * bytes / seconds / u64::try_from(members).unwrap();
+        println!("table up {table_up}: {bytes} bytes/s a daemon, {calls} table calls/s");
+        expect_that!(bytes, lt(CONTROL_BYTES));
+        expect_that!(calls, lt(TABLE_READS / 4));
+    }
+}
--- a/crates/decisions/tests/freshness/simulation.rs
+++ b/crates/decisions/tests/freshness/simulation.rs
@@ -101,6 +101,9 @@
     /// Messages lost, in percent.
     pub loss_percent: u32,
     violation: Option<String>,
+    promised: LogPosition,
+    traffic: (u64, u64),
+    table_calls: u64,
 }
 
 impl Simulation {
@@ -120,6 +123,9 @@
             answers_lost: false,
             loss_percent: 0,
             violation: None,
+            promised: LogPosition(0),
+            traffic: (0, 0),
+            table_calls: 0,
         };
         for name in ('a'..='z').take(count) {
             simulation.start(&name.to_string());
@@ -127,6 +133,30 @@
         simulation
     }
 
+    /// Starts with `count` daemons that one entry has listed.
+    pub fn listed(count: usize, seed: u64) -> Self {
+        let mut simulation = Self::new(0, seed);
+        for index in 0..count {
+            simulation.start(&format!("host-{index:03}"));
+        }
+        let joined = simulation.daemons.values().map(|daemon| record_of(&daemon.seat));
+        let joined = joined.collect();
+        let in_force = LogPosition(0);
+        let body = LogBody::Members { joined, removed: vec![], in_force };
+        simulation.append("host-000".parse().unwrap(), RequestId(1), body);
+        simulation
+    }
+
+    /// Returns the messages sent so far and their bytes, without envelopes.
+    pub fn traffic(&self) -> (u64, u64) {
+        self.traffic
+    }
+
+    /// Returns the calls of the table so far, answered or not.
+    pub fn table_calls(&self) -> u64 {
+        self.table_calls
+    }
+
     /// Returns the hosts.
     pub fn hosts(&self) -> Vec<String> {
         self.daemons.keys().map(ToString::to_string).collect()
@@ -233,7 +263,7 @@
             }
             self.now = key.0;
             self.dispatch(&host, incarnation, event);
-            self.check();
+            self.check(&host);
             if let Some(violation) = &self.violation {
                 return Err(violation.clone());
             }
@@ -309,25 +339,35 @@
         self.push(&seat.host, seat.incarnation, delay, event);
     }
 
-    fn check(&mut self) {
-        let running = self.daemons.values().filter(|daemon| daemon.running);
-        let promised = running.map(|daemon| daemon.gossip.freshness.heads().in_force).max();
-        let Some(promised) = promised else { return };
-        self.in_force_at.entry(promised).or_insert(self.now);
-        let promised =
-            self.in_force_at.last_key_value().map_or(promised, |(position, _)| *position);
+    /// Checks the promises after an event at `host`: only there can freshness or what is said to
+    /// be in force have grown.
+    fn check(&mut self, host: &HostId) {
+        let Some(daemon) = self.daemons.get(host) else { return };
+        let in_force = daemon.gossip.freshness.heads().in_force;
+        if in_force > self.promised {
+            self.promised = in_force;
+            self.in_force_at.insert(in_force, self.now);
+            self.check_admission(None);
+        } else {
+            self.check_admission(Some(host.clone()));
+        }
+        if self.promised > self.newest() {
+            self.violation = Some(format!("{} is in force but not committed", self.promised));
+        }
+    }
+
+    fn check_admission(&mut self, only: Option<HostId>) {
         let admits = |daemon: &&Daemon| {
-            daemon.running && daemon.paused_until <= self.now && daemon.is_fresh(self.now)
+            daemon.running
+                && daemon.paused_until <= self.now
+                && daemon.followed() < self.promised
+                && daemon.is_fresh(self.now)
         };
-        for daemon in self.daemons.values().filter(admits) {
-            if daemon.followed() < promised {
-                let (seat, followed) = (&daemon.seat, daemon.followed());
-                self.violation =
-                    Some(format!("{seat} admits at {followed} while {promised} is in force"));
-            }
-        }
-        if promised > self.newest() {
-            self.violation = Some(format!("{promised} is in force but was never committed"));
+        let asked = |daemon: &&Daemon| only.as_ref().is_none_or(|only| daemon.seat.host == *only);
+        if let Some(daemon) = self.daemons.values().filter(asked).find(admits) {
+            let (seat, followed, promised) = (&daemon.seat, daemon.followed(), self.promised);
+            self.violation =
+                Some(format!("{seat} admits at {followed} while {promised} is in force"));
         }
     }
 
@@ -412,6 +452,8 @@
     }
 
     fn send(&mut self, from: &MemberSeat, to: &HostId, message: GossipMessage) {
+        self.traffic.0 += 1;
+        self.traffic.1 += u64::try_from(postcard::to_stdvec(&message).unwrap().len()).unwrap();
         let lost = self.random.random_range(0..100) < self.loss_percent;
         let delay = self.random.random_range(MILLI / 2..3 * MILLI);
         let Some(receiver) = self.daemons.get(to) else { return };
@@ -451,7 +493,9 @@
                 daemon.lists_wanted.get_or_insert((change, Intent::Remove(gone)));
             }
         }
-        if !daemon.gossip.freshness.is_listed() && !daemon.leaving {
+        if daemon.gossip.freshness.is_listed() {
+            daemon.lists_wanted.take_if(|(_, intent)| matches!(intent, Intent::Join(_)));
+        } else if !daemon.leaving {
             let join = Intent::Join(record_of(&daemon.seat));
             daemon.lists_wanted.get_or_insert((change, join));
         }
@@ -481,6 +525,7 @@
     }
 
     fn arrive_at_table(&mut self, seat: &MemberSeat, event: Event) {
+        self.table_calls += 1;
         if !self.table_up || !self.daemons[&seat.host].reaches_table {
             return;
         }
@@ -524,16 +569,15 @@
                 in_force: commit.in_force,
             },
         };
-        self.entries.push(LogEntry {
-            position: self.newest().next(),
-            change: commit.change,
-            author: seat.host.clone(),
-            accepted_at: 0,
-            body,
-        });
-        self.committed_at.push(self.now);
+        self.append(seat.host.clone(), commit.change, body);
         self.row_in_force = commit.in_force;
     }
+
+    fn append(&mut self, author: HostId, change: RequestId, body: LogBody) {
+        let position = self.newest().next();
+        self.entries.push(LogEntry { position, change, author, accepted_at: 0, body });
+        self.committed_at.push(self.now);
+    }
 }
 
 fn record_of(seat: &MemberSeat) -> MemberRecord {
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -217,7 +217,8 @@
     RequestId(u128::from(high) << 64 | u128::from(low))
 }
 
-fn member_key(host: &HostId) -> String {
+/// Returns the key of the row that describes `host`.
+pub(crate) fn member_key(host: &HostId) -> String {
     format!("members/{host}")
 }
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -16,8 +16,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::control::{AppendError, ControlServices, FleetControl};
-use crate::log_store::{LogError, LogStore};
-use crate::members::{JOIN_PERIOD, TEND_PERIOD};
+use crate::log_store::{LogError, LogStore, bounded, decode};
+use crate::members::{JOIN_PERIOD, TEND_PERIOD, member_key};
 use crate::transport::{InboxKind, PeerTransport};
 use crate::{
     AdministrationPorts, ConfigurationFeed, ConfigurationSnapshot, FleetPorts, MemberFeed,
@@ -97,7 +97,9 @@
     timers: &TimerService,
     registry: &Registry,
 ) -> Result<FleetNode, NodeError> {
-    let seat = MemberSeat { host: settings.host, incarnation: new_incarnation() };
+    let incarnation = listed_incarnation(&platform.table, &settings.host).await.next();
+    let incarnation = incarnation.max(clock_incarnation());
+    let seat = MemberSeat { host: settings.host, incarnation };
     let stopped = CancellationToken::new();
     let socket = |cause| NodeError::Socket { address: settings.peers, cause };
     let started = PeerTransport::start(
@@ -219,7 +221,15 @@
 }
 
 /// Returns the milliseconds since the Unix epoch: later daemons on a host have a higher number.
-fn new_incarnation() -> HostIncarnation {
+fn clock_incarnation() -> HostIncarnation {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     HostIncarnation(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
+
+/// Returns the incarnation that is listed for `host`: a clock may have been set back since.
+async fn listed_incarnation(table: &PlatformTable, host: &HostId) -> HostIncarnation {
+    let rows = bounded("read member", table.read(vec![member_key(host)])).await;
+    let rows = rows.unwrap_or_default();
+    let record = rows.first().and_then(|row| decode::<MemberRecord>("read member", row).ok());
+    record.map_or(HostIncarnation(0), |record| record.seat.incarnation)
+}
--- a/crates/fleet/tests/node.rs
+++ b/crates/fleet/tests/node.rs
@@ -8,8 +8,10 @@
     ProposedChange, TimerService, boot_clock, node,
 };
 use dotterellane_platform::memory::{MemoryPlatform, PlatformFault};
+use dotterellane_platform::{RowWrite, TableTransaction};
+use dotterellane_protocol::MemberRecord;
 use dotterellane_settings::document::{ConfigurationDocument, TeamEntry};
-use dotterellane_units::{ConfigVersion, RequestId, TokenCount};
+use dotterellane_units::{ConfigVersion, HostIncarnation, RequestId, TokenCount};
 use googletest::prelude::*;
 use prometheus::Registry;
 
@@ -214,3 +216,23 @@
         expect_that!(reads - reads_before, lt(20));
     });
 }
+
+#[gtest]
+fn start_again_clock_set_back() {
+    run(async {
+        let mut fleet = Fleet::start(1).await;
+        fleet.see_each_other().await;
+        fleet.nodes.clear();
+        // As if the earlier daemon's clock had been far ahead.
+        let table = fleet.platform.table();
+        let mut rows = table.scan("members/").await.unwrap();
+        let mut record: MemberRecord = postcard::from_bytes(&rows.remove(0).value).unwrap();
+        record.seat.incarnation = HostIncarnation(u64::MAX / 2);
+        let value = Some(postcard::to_stdvec(&record).unwrap());
+        let writes = vec![RowWrite { key: "members/host-0".to_owned(), value }];
+        table.commit(TableTransaction { conditions: vec![], writes }).await.unwrap();
+        fleet.add("host-0").await;
+        expect_that!(fleet.nodes[0].seat.incarnation, gt(record.seat.incarnation));
+        fleet.see_each_other().await;
+    });
+}
--- a/crates/protocol/src/gossip.rs
+++ b/crates/protocol/src/gossip.rs
@@ -152,7 +152,8 @@
     pub levels: Vec<AgeLevel>,
     /// Position that the bits are about.
     pub confirmed: LogPosition,
-    /// One bit a seat, in the order of the list: whether it confirmed that position.
+    /// One bit a seat, in the order of the list: whether it confirmed that position; none once it
+    /// is in force.
     pub confirmed_bits: Vec<u8>,
     /// One bit a seat: whether it said that it leaves.
     pub leaving_bits: Vec<u8>,
