--- a/crates/dotterellane/src/demo/document.rs
+++ b/crates/dotterellane/src/demo/document.rs
@@ -32,6 +32,14 @@
 /// Failure domains of the three runners.
 pub const RUNNER_DOMAINS: [&str; 3] = ["domain-a", "domain-a", "domain-b"];
 
+/// Accelerator memory of each runner.
+pub const RUNNER_MEMORY: ByteSize = ByteSize::gibibytes(80);
+
+/// Tells whether the runner of this index refuses orders with an old fencing number.
+pub fn honours_fencing(index: usize) -> bool {
+    index != 0
+}
+
 /// Builds the document from keys and addresses.
 ///
 /// # Errors
@@ -44,8 +52,7 @@
 ) -> Result<ConfigurationDocument, UnitError> {
     let mut document = ConfigurationDocument::default();
     for ((team, rate, burst), digest) in TEAMS.iter().zip(team_digests) {
-        let entry =
-            TeamEntry { rate: TokenRate::per_second(*rate), burst: TokenCount(*burst) };
+        let entry = TeamEntry { rate: TokenRate::per_second(*rate), burst: TokenCount(*burst) };
         document.teams.insert(team.parse()?, entry);
         let key = KeyEntry {
             team: team.parse()?,
@@ -71,9 +78,9 @@
     }
     for (index, address) in runners.iter().enumerate() {
         let runner = RunnerEntry {
-            memory: ByteSize::gibibytes(80),
+            memory: RUNNER_MEMORY,
             accelerators: 1,
-            honours_fencing: index != 0,
+            honours_fencing: honours_fencing(index),
         };
         let entry = UpstreamEntry {
             address: *address,
@@ -101,10 +108,7 @@
     })
 }
 
-fn add_service(
-    document: &mut ConfigurationDocument,
-    address: SocketAddr,
-) -> Result<(), UnitError> {
+fn add_service(document: &mut ConfigurationDocument, address: SocketAddr) -> Result<(), UnitError> {
     let entry = ServiceEntry {
         callers: CallerScope::AllTeams,
         calls: CallKind::OnceOnly,
--- a/crates/dotterellane/src/lib.rs
+++ b/crates/dotterellane/src/lib.rs
@@ -1,7 +1,12 @@
 //! Serving system for rarely used models that many teams share.
 
 pub mod cli;
+pub mod commands;
+mod crashes;
+pub mod daemon;
 pub mod demo;
 pub mod exit_codes;
 pub mod logging;
+pub mod overview;
+pub mod serve;
 pub mod signals;
--- a/crates/fleet/src/log_state.rs
+++ b/crates/fleet/src/log_state.rs
@@ -1,6 +1,6 @@
 //! Hard state as the log of changes makes it, up to the entry that this daemon follows.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use dotterellane_decisions::membership::{MemberChange, MemberLists};
 use dotterellane_protocol::{LogBody, LogEntry, LogPosition};
@@ -17,7 +17,8 @@
 pub const ENTRIES_KEPT: usize = 256;
 
 /// Why an entry cannot be followed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum FollowError {
     /// It is not the next one.
     #[error("follow entry {found}: the next one is {expected}")]
@@ -46,7 +47,8 @@
 }
 
 /// What a snapshot in the object store holds.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct LogSnapshot {
     /// Last entry that is in the snapshot.
     pub position: LogPosition,
@@ -56,6 +58,19 @@
     pub version: ConfigVersion,
     /// The document, by section.
     pub document: Value,
+    /// Newest entry of each kind of other hard state.
+    #[serde(default)]
+    pub others: BTreeMap<String, OtherState>,
+}
+
+/// Newest entry of one kind of other hard state.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct OtherState {
+    /// Position of the entry.
+    pub position: LogPosition,
+    /// Its content.
+    pub content: Vec<u8>,
 }
 
 impl Default for LogSnapshot {
@@ -65,6 +80,7 @@
             lists: MemberLists::default(),
             version: ConfigVersion(0),
             document: Value::Object(Map::new()),
+            others: BTreeMap::new(),
         }
     }
 }
@@ -105,7 +121,10 @@
                 let change = MemberChange { position: found, joined, removed, in_force };
                 self.lists = self.lists.changed(&change);
             }
-            LogBody::Other { .. } => {}
+            LogBody::Other { kind, content } => {
+                let other = OtherState { position: found, content: content.clone() };
+                self.others.insert(kind.clone(), other);
+            }
         }
         self.position = found;
         Ok(changed)
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -49,7 +49,8 @@
 }
 
 /// Why a daemon's control did not start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum NodeError {
     /// The socket cannot be used, or a metric is registered already.
     #[error("listen for peers at {address}: {cause}")]
@@ -80,7 +81,7 @@
     pub seat: MemberSeat,
     /// Where this daemon receives datagrams.
     pub address: SocketAddr,
-    control: Arc<FleetControl>,
+    pub(crate) control: Arc<FleetControl>,
     inboxes: Mutex<BTreeMap<InboxKind, PeerInbox>>,
     subscriptions: Vec<TimerSubscription>,
     stopped: CancellationToken,
