--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use dotterellane_decisions::freshness::FreshnessEvidence;
 use dotterellane_decisions::gossip::GossipMachine;
 use dotterellane_decisions::membership::AbsenceRecord;
 use dotterellane_platform::{HostList, TableError, TableTransaction};
@@ -12,10 +13,10 @@
     GossipMessage, LogBody, LogEntry, LogHeads, LogPosition, MemberRecord, PeerMessage,
 };
 use dotterellane_units::{ClockInstant, ClockSource, HostId, RequestId};
-use prometheus::IntCounter;
 use thiserror::Error;
 use tokio::sync::watch;
 
+use crate::control_metrics::ControlMetrics;
 use crate::log_state::{LogSnapshot, LogState};
 use crate::log_store::{HeadReading, LogError, LogHead, LogStore, SNAPSHOT_EVERY};
 use crate::transport::PeerTransport;
@@ -48,6 +49,7 @@
     pub(crate) log: LogState,
     pub(crate) absence: AbsenceRecord,
     pub(crate) leaving: bool,
+    pub(crate) evidence: FreshnessEvidence,
 }
 
 /// What the parts of one daemon's control share.
@@ -60,7 +62,7 @@
     pub(crate) configuration: ConfigurationFeed,
     pub(crate) members: watch::Sender<Arc<MemberView>>,
     pub(crate) heads: watch::Sender<LogHeads>,
-    pub(crate) platform_errors: IntCounter,
+    pub(crate) metrics: ControlMetrics,
     pub(crate) reading: Flag,
     pub(crate) fetching: Flag,
     pub(crate) joining: Flag,
@@ -91,7 +93,7 @@
     pub(crate) store: LogStore,
     pub(crate) hosts: HostList,
     pub(crate) configuration: ConfigurationFeed,
-    pub(crate) platform_errors: IntCounter,
+    pub(crate) metrics: ControlMetrics,
 }
 
 impl FleetControl {
@@ -101,6 +103,7 @@
             log: LogState::default(),
             absence: AbsenceRecord::default(),
             leaving: false,
+            evidence: FreshnessEvidence::Nothing,
         };
         Self {
             record,
@@ -111,7 +114,7 @@
             configuration: services.configuration,
             members: watch::Sender::default(),
             heads: watch::Sender::default(),
-            platform_errors: services.platform_errors,
+            metrics: services.metrics,
             reading: Flag::default(),
             fetching: Flag::default(),
             joining: Flag::default(),
--- /dev/null
+++ b/crates/fleet/src/control_metrics.rs
@@ -0,0 +1,65 @@
+//! Counters and gauges of membership, freshness and the log.
+
+use dotterellane_decisions::freshness::FreshnessEvidence;
+use dotterellane_protocol::LogHeads;
+use prometheus::{IntCounter, IntGauge, IntGaugeVec, Opts, Registry};
+
+/// Counters and gauges of one daemon's control.
+pub(crate) struct ControlMetrics {
+    pub(crate) platform_errors: IntCounter,
+    fresh: IntGauge,
+    members: IntGaugeVec,
+    positions: IntGaugeVec,
+}
+
+impl ControlMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    /// Fails if one is registered already.
+    pub(crate) fn register(registry: &Registry) -> prometheus::Result<Self> {
+        let metrics = Self {
+            platform_errors: IntCounter::new(
+                "dotterellane_platform_errors_total",
+                "Calls of the platform that failed, of membership and configuration.",
+            )?,
+            fresh: IntGauge::new("dotterellane_fresh", "1 while the daemon may admit requests.")?,
+            members: IntGaugeVec::new(
+                Opts::new("dotterellane_members", "Members by what this daemon sees of them."),
+                &["state"],
+            )?,
+            positions: IntGaugeVec::new(
+                Opts::new("dotterellane_log_position", "Positions in the log of changes."),
+                &["head"],
+            )?,
+        };
+        registry.register(Box::new(metrics.platform_errors.clone()))?;
+        registry.register(Box::new(metrics.fresh.clone()))?;
+        registry.register(Box::new(metrics.members.clone()))?;
+        registry.register(Box::new(metrics.positions.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Shows what freshness rests on.
+    pub(crate) fn show_evidence(&self, evidence: FreshnessEvidence) {
+        self.fresh.set(i64::from(evidence.is_fresh()));
+    }
+
+    /// Shows how far the log is followed.
+    pub(crate) fn show_heads(&self, heads: LogHeads) {
+        let heads =
+            [("followed", heads.followed), ("known", heads.known), ("in_force", heads.in_force)];
+        for (head, position) in heads {
+            let position = i64::try_from(position.0).unwrap_or(i64::MAX);
+            self.positions.with_label_values(&[head]).set(position);
+        }
+    }
+
+    /// Shows how many members are listed, and how many of them alive.
+    pub(crate) fn show_members(&self, listed: usize, alive: usize) {
+        for (state, count) in [("listed", listed), ("alive", alive)] {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.members.with_label_values(&[state]).set(count);
+        }
+    }
+}
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -8,7 +8,7 @@
 use dotterellane_units::HostId;
 
 use crate::PeerInbox;
-use crate::control::FleetControl;
+use crate::control::{ControlState, FleetControl};
 use crate::log_store::LogError;
 
 impl FleetControl {
@@ -19,11 +19,23 @@
             let actions = state.gossip.round(self.clock.now());
             self.publish_heads(&state);
             self.publish_members(&state);
+            self.publish_evidence(&mut state);
             actions
         };
         self.carry_out(actions);
     }
 
+    /// Shows what freshness rests on, and logs when it changes.
+    fn publish_evidence(&self, state: &mut ControlState) {
+        let evidence = state.gossip.freshness.evidence(self.clock.now());
+        self.metrics.show_evidence(evidence);
+        self.metrics.show_heads(state.gossip.freshness.heads());
+        if evidence != state.evidence {
+            spdlog::info!("freshness rests on {evidence:?}, before on {:?}", state.evidence);
+            state.evidence = evidence;
+        }
+    }
+
     /// Handles the messages of peers until the inbox closes.
     pub(crate) async fn receive(self: Arc<Self>, mut inbox: PeerInbox) {
         while let Some(delivery) = inbox.recv().await {
@@ -105,7 +117,7 @@
         let running = task(self.clone());
         tokio::spawn(async move {
             if let Err(error) = running.await {
-                control.platform_errors.inc();
+                control.metrics.platform_errors.inc();
                 spdlog::debug!("{error}");
             }
             after(&control);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 mod configuration_log;
 pub mod control;
+mod control_metrics;
 mod dispatch;
 pub mod document_edits;
 mod gossip;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -172,7 +172,9 @@
             leaving: machine.is_leaving(&record.seat)
                 || (state.leaving && record.seat == self.record.seat),
         };
-        let members = machine.lists().current().records.iter().map(info).collect();
+        let members: Vec<MemberInfo> = machine.lists().current().records.iter().map(info).collect();
+        let alive = members.iter().filter(|member| member.alive).count();
+        self.metrics.show_members(members.len(), alive);
         self.members.send_if_modified(|known| {
             let changed = known.members != members;
             if changed {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -10,12 +10,13 @@
 use dotterellane_platform::{HostList, ObjectStore, PlatformTable, TableTransaction};
 use dotterellane_protocol::{LogBody, LogEntry, LogHeads, MemberRecord, MemberSeat};
 use dotterellane_units::{ClockSource, DomainId, HostId, HostIncarnation, RequestId};
-use prometheus::{IntCounter, Registry};
+use prometheus::Registry;
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::control::{AppendError, ControlServices, FleetControl};
+use crate::control_metrics::ControlMetrics;
 use crate::log_store::{LogError, LogStore, bounded, decode};
 use crate::members::{JOIN_PERIOD, TEND_PERIOD, member_key};
 use crate::transport::{InboxKind, PeerTransport};
@@ -112,11 +113,6 @@
     );
     let (transport, mut inboxes) = started.await.map_err(socket)?;
     let address = transport.address().map_err(socket)?;
-    let platform_errors = IntCounter::new(
-        "dotterellane_platform_errors_total",
-        "Calls of the platform that failed, of membership and configuration.",
-    )?;
-    registry.register(Box::new(platform_errors.clone()))?;
     let configuration = ConfigurationFeed::new(ConfigurationSnapshot::default());
     let services = ControlServices {
         clock: clock.clone(),
@@ -124,7 +120,7 @@
         store: LogStore::new(platform.table, platform.objects),
         hosts: platform.hosts,
         configuration: configuration.clone(),
-        platform_errors,
+        metrics: ControlMetrics::register(registry)?,
     };
     let record = MemberRecord { seat: seat.clone(), domain: settings.domain, address };
     let control = Arc::new(FleetControl::new(record, services, rand::random()));
@@ -206,7 +202,7 @@
         }
         .await;
         if let Err(error) = followed {
-            self.platform_errors.inc();
+            self.metrics.platform_errors.inc();
             spdlog::warn!("{error}");
         }
     }
