Simulate cold starts against bounds and baselines

Cause: keep-alive, choice of slot and eviction have to be measured. Change: seeded traces at both users' sizes; four kinds of policy over the same weight store; bounds: the same loads alone before the store, and the least idle hours of one who knows all gaps and loads as many bytes.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Load, policy, slope and fault experiments.
 
 pub mod cli;
+pub mod cold_start;
 pub mod load;
 pub mod output;
 pub mod regression;
--- a/crates/decisions/src/keep_alive.rs
+++ b/crates/decisions/src/keep_alive.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+/// Accelerator seconds that one second of cold start is worth.
+pub const COLD_START_WEIGHT: f64 = 100.0;
 /// Least gap that is told apart from none.
 const FIRST_BUCKET: Duration = Duration::from_millis(250);
 /// Each bucket is wider than the one before by this factor.
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -7,7 +7,7 @@
 use dotterellane_decisions::dispatch::{
     DispatchAction, DispatchLimits, ModelDispatcher, PlaceState,
 };
-use dotterellane_decisions::keep_alive::GapHistogram;
+use dotterellane_decisions::keep_alive::{COLD_START_WEIGHT, GapHistogram};
 use dotterellane_protocol::dispatch::{PermitAsk, PermitDenial, PermitOutcome};
 use dotterellane_protocol::placement::{CacheTier, ReplicaReport, ReplicaState};
 use dotterellane_protocol::{DispatchMessage, PeerMessage, PlacementMessage};
@@ -33,8 +33,6 @@
 const USAGE_PERIOD: Duration = Duration::from_secs(1);
 /// Time that an eviction is expected to take.
 const EVICTION_TIME: Duration = Duration::from_millis(500);
-/// Accelerator time that one second of cold start is worth.
-const COLD_START_WEIGHT: u32 = 8;
 /// Least time that an idle replica stays loaded.
 const MIN_HOLD: Duration = Duration::from_secs(5);
 
@@ -397,7 +395,8 @@
             place.keeper_told = Some(now);
             let busy = seat.dispatcher.permits_on(runner) > 0;
             let load_time = LoadSpeeds::default().load_time(memory, place.tier);
-            let hold = seat.gaps.keep_alive(load_time * COLD_START_WEIGHT).hold.max(MIN_HOLD);
+            let hold =
+                seat.gaps.keep_alive(load_time.mul_f64(COLD_START_WEIGHT)).hold.max(MIN_HOLD);
             let usage = PlacementMessage::Usage {
                 model: model.clone(),
                 runner: runner.clone(),
