Run the policy comparisons from the bench program

Cause: shares and cold starts had comparisons that nothing called. Change: dotterellane-bench policy shares and policy cold-start.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -2,7 +2,9 @@
 
 use clap::{Parser, Subcommand};
 
+use crate::cold_start::ColdStartOptions;
 use crate::load::LoadOptions;
+use crate::shares::ShareOptions;
 use crate::slopes::SlopeOptions;
 
 /// Measures dotterellane; results are printed as JSON
@@ -21,6 +23,19 @@
 pub enum Command {
     /// Send seeded requests to a running fleet at a fixed rate, whatever it answers
     Load(LoadOptions),
+    /// Compare decisions with their baselines over seeded traces
+    #[command(subcommand)]
+    Policy(PolicyCommand),
     /// Run many daemons on loopback and measure what control costs each
     Slopes(SlopeOptions),
 }
+
+/// Which decisions are compared
+#[derive(Debug)]
+#[derive(Subcommand)]
+pub enum PolicyCommand {
+    /// Team shares against a static split and one central bucket
+    Shares(ShareOptions),
+    /// Cold starts and idle hours against fixed keep-alive, never and at once
+    ColdStart(ColdStartOptions),
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,8 +3,8 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use dotterellane_bench::cli::{Arguments, Command};
-use dotterellane_bench::{load, output, slopes};
+use dotterellane_bench::cli::{Arguments, Command, PolicyCommand};
+use dotterellane_bench::{cold_start, load, output, shares, slopes};
 
 fn main() -> ExitCode {
     match run(Arguments::parse()) {
@@ -19,6 +19,10 @@
 fn run(arguments: Arguments) -> miette::Result<()> {
     match arguments.command {
         Command::Load(options) => output::print(&load::run(&options)?),
+        Command::Policy(PolicyCommand::Shares(options)) => output::print(&shares::run(&options)?),
+        Command::Policy(PolicyCommand::ColdStart(options)) => {
+            output::print(&cold_start::run(&options)?)
+        }
         Command::Slopes(options) => output::print(&slopes::run(&options)?),
     }
 }
