Share one typed document instead of keeping a second as JSON values

Change: an edit is applied to the typed entry it names; the log's state and the feed share one document.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,8 +5,11 @@
 use clap::Parser;
 use dotterellane_bench::cli::{Arguments, Command, PolicyCommand};
 use dotterellane_bench::{cold_start, load, output, shares, slopes};
+use spdlog::{Level, LevelFilter};
 
 fn main() -> ExitCode {
+    // Results go to standard output, where the daemons' changes of state would end up too.
+    spdlog::default_logger().set_level_filter(LevelFilter::MoreSevereEqual(Level::Warn));
     match run(Arguments::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -4,10 +4,12 @@
 
 use dotterellane_settings::document::ConfigurationDocument;
 use dotterellane_units::ConfigVersion;
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 /// One accepted version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ConfigurationSnapshot {
     /// Version of the document.
     pub version: ConfigVersion,
@@ -36,11 +38,15 @@
     }
 
     /// Follows `snapshot` if it is newer than the current one; tells whether it was.
-    pub fn follow(&self, snapshot: ConfigurationSnapshot) -> bool {
+    pub fn follow<S>(&self, snapshot: S) -> bool
+    where
+        S: Into<Arc<ConfigurationSnapshot>>,
+    {
+        let snapshot = snapshot.into();
         self.0.send_if_modified(|current| {
             let newer = snapshot.version > current.version;
             if newer {
-                *current = Arc::new(snapshot);
+                *current = snapshot;
             }
             newer
         })
--- a/crates/fleet/src/configuration_log.rs
+++ b/crates/fleet/src/configuration_log.rs
@@ -40,14 +40,16 @@
             ProposalError::TableDown { step: "encode the document", cause: error.to_string() }
         })?;
         let appended = self.append(change.change, |snapshot: &LogSnapshot| {
-            if snapshot.version != change.expected {
+            let before = &snapshot.configuration;
+            if before.version != change.expected {
                 return Err(());
             }
+            let old = serde_json::to_value(&before.document).unwrap_or_default();
             let body = LogBody::Configuration {
-                version: snapshot.version.next(),
+                version: before.version.next(),
                 operator: change.operator.clone(),
                 summary: change.summary.clone(),
-                edits: find_edits(&snapshot.document, &document),
+                edits: find_edits(&old, &document),
             };
             Ok((body, TableTransaction::default()))
         });
@@ -105,10 +107,7 @@
         let found = self.find_version(version).await.map_err(|error| unread("content", &error))?;
         let Some(position) = found else { return Ok(None) };
         let state = self.store.load(position).await.map_err(|error| unread("content", &error))?;
-        let configuration = state.snapshot.configuration();
-        configuration
-            .map(Some)
-            .map_err(|error| ProposalError::Unknown { step: "content", cause: error.to_string() })
+        Ok(Some((*state.snapshot.configuration).clone()))
     }
 
     async fn find_version(&self, version: ConfigVersion) -> Result<Option<LogPosition>, LogError> {
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -170,8 +170,8 @@
                 return;
             }
         };
-        if changed && !self.follow_configuration(&state.log.snapshot) {
-            return;
+        if changed {
+            self.configuration.follow(state.log.snapshot.configuration.clone());
         }
         let actions = state.gossip.followed(entry, &state.log.snapshot.lists, now);
         self.after_follow(state);
@@ -192,28 +192,13 @@
         if log.snapshot.position <= state.log.snapshot.position {
             return;
         }
-        if !self.follow_configuration(&log.snapshot) {
-            return;
-        }
+        self.configuration.follow(log.snapshot.configuration.clone());
         state.log = log;
         let snapshot = &state.log.snapshot;
         state.gossip.freshness.follow(snapshot.position, &snapshot.lists, now);
         self.after_follow(state);
     }
 
-    fn follow_configuration(&self, snapshot: &LogSnapshot) -> bool {
-        match snapshot.configuration() {
-            Ok(configuration) => {
-                self.configuration.follow(configuration);
-                true
-            }
-            Err(error) => {
-                spdlog::error!("follow configuration {}: {error}", snapshot.version);
-                false
-            }
-        }
-    }
-
     fn after_follow(&self, state: &ControlState) {
         for record in &state.log.snapshot.lists.current().records {
             self.transport.suggest_address(&record.seat, record.address);
--- a/crates/fleet/src/document_edits.rs
+++ b/crates/fleet/src/document_edits.rs
@@ -1,6 +1,12 @@
 //! Differences between two configuration documents, entry by entry.
 
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
 use dotterellane_protocol::DocumentEdit;
+use dotterellane_settings::document::ConfigurationDocument;
+use dotterellane_units::UnitError;
+use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 use thiserror::Error;
 
@@ -8,7 +14,21 @@
 #[derive(Debug)]
 #[derive(Error)]
 pub enum EditError {
-    /// The new entry is no JSON.
+    /// The section does not exist in this version of the document.
+    #[error("edit {section}: no such section")]
+    UnknownSection {
+        /// Section of the document.
+        section: String,
+    },
+    /// The key is not an id.
+    #[error("edit {section}: {cause}")]
+    Key {
+        /// Section of the document.
+        section: String,
+        /// What is wrong with the key.
+        cause: UnitError,
+    },
+    /// The new entry is no JSON, or not one of its section.
     #[error("edit {section}.{key}: {cause}")]
     Malformed {
         /// Section of the document.
@@ -48,31 +68,43 @@
     edits
 }
 
-/// Applies `edits` to `document`.
+/// Applies one edit to `document`.
 ///
 /// # Errors
-/// Fails if an entry is no JSON; the document is then as before.
-pub fn apply_edits(document: &mut Value, edits: &[DocumentEdit]) -> Result<(), EditError> {
-    let mut sections = document.as_object().cloned().unwrap_or_default();
-    for edit in edits {
-        let section =
-            sections.entry(edit.section.clone()).or_insert_with(|| Value::Object(Map::new()));
-        let Some(entries) = section.as_object_mut() else { continue };
-        match &edit.value {
-            Some(text) => {
-                let parsed = serde_json::from_str(text);
-                let value = parsed.map_err(|cause| EditError::Malformed {
-                    section: edit.section.clone(),
-                    key: edit.key.clone(),
-                    cause,
-                })?;
-                entries.insert(edit.key.clone(), value);
-            }
-            None => {
-                entries.remove(&edit.key);
-            }
+/// Fails if the section or its entry is not understood; the document is then as before.
+pub fn apply_edit(
+    document: &mut ConfigurationDocument,
+    edit: &DocumentEdit,
+) -> Result<(), EditError> {
+    match edit.section.as_str() {
+        "teams" => edit_entry(&mut document.teams, edit),
+        "keys" => edit_entry(&mut document.keys, edit),
+        "operators" => edit_entry(&mut document.operators, edit),
+        "models" => edit_entry(&mut document.models, edit),
+        "adapters" => edit_entry(&mut document.adapters, edit),
+        "services" => edit_entry(&mut document.services, edit),
+        "upstreams" => edit_entry(&mut document.upstreams, edit),
+        section => Err(EditError::UnknownSection { section: section.to_owned() }),
+    }
+}
+
+fn edit_entry<K, V>(entries: &mut BTreeMap<K, V>, edit: &DocumentEdit) -> Result<(), EditError>
+where
+    K: FromStr<Err = UnitError> + Ord,
+    V: DeserializeOwned,
+{
+    let (section, key) = (edit.section.clone(), edit.key.clone());
+    let name =
+        edit.key.parse().map_err(|cause| EditError::Key { section: section.clone(), cause })?;
+    match &edit.value {
+        Some(text) => {
+            let entry = serde_json::from_str(text);
+            let entry = entry.map_err(|cause| EditError::Malformed { section, key, cause })?;
+            entries.insert(name, entry);
+        }
+        None => {
+            entries.remove(&name);
         }
     }
-    *document = Value::Object(sections);
     Ok(())
 }
--- a/crates/fleet/src/log_state.rs
+++ b/crates/fleet/src/log_state.rs
@@ -1,17 +1,16 @@
 //! Hard state as the log of changes makes it, up to the entry that this daemon follows.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 use dotterellane_decisions::membership::{MemberChange, MemberLists};
 use dotterellane_protocol::{LogBody, LogEntry, LogPosition};
-use dotterellane_settings::document::ConfigurationDocument;
 use dotterellane_units::ConfigVersion;
 use serde::{Deserialize, Serialize};
-use serde_json::{Map, Value};
 use thiserror::Error;
 
 use crate::ConfigurationSnapshot;
-use crate::document_edits::{EditError, apply_edits};
+use crate::document_edits::{EditError, apply_edit};
 
 /// Entries kept in memory to hand on to peers.
 pub const ENTRIES_KEPT: usize = 256;
@@ -36,14 +35,6 @@
         /// What was wrong.
         cause: EditError,
     },
-    /// The document does not fit what this daemon understands.
-    #[error("follow entry {position}: {cause}")]
-    Document {
-        /// Position of the entry.
-        position: LogPosition,
-        /// What was wrong.
-        cause: serde_json::Error,
-    },
 }
 
 /// What a snapshot in the object store holds.
@@ -54,10 +45,8 @@
     pub position: LogPosition,
     /// Member lists after it.
     pub lists: MemberLists,
-    /// Version of the configuration after it.
-    pub version: ConfigVersion,
-    /// The document, by section.
-    pub document: Value,
+    /// Configuration after it, shared with all that follow it.
+    pub configuration: Arc<ConfigurationSnapshot>,
     /// Newest entry of each kind of other hard state.
     #[serde(default)]
     pub others: BTreeMap<String, OtherState>,
@@ -78,23 +67,13 @@
         Self {
             position: LogPosition(0),
             lists: MemberLists::default(),
-            version: ConfigVersion(0),
-            document: Value::Object(Map::new()),
+            configuration: Arc::default(),
             others: BTreeMap::new(),
         }
     }
 }
 
 impl LogSnapshot {
-    /// Returns the configuration in the snapshot.
-    ///
-    /// # Errors
-    /// Fails if the document does not fit what this daemon understands.
-    pub fn configuration(&self) -> Result<ConfigurationSnapshot, serde_json::Error> {
-        let document = ConfigurationDocument::deserialize(&self.document)?;
-        Ok(ConfigurationSnapshot { version: self.version, document })
-    }
-
     /// Follows the next entry; tells whether the configuration changed.
     ///
     /// # Errors
@@ -107,13 +86,13 @@
         let mut changed = false;
         match &entry.body {
             LogBody::Configuration { version, edits, .. } => {
-                let mut document = self.document.clone();
-                apply_edits(&mut document, edits)
-                    .map_err(|cause| FollowError::Edit { position: found, cause })?;
-                ConfigurationDocument::deserialize(&document)
-                    .map_err(|cause| FollowError::Document { position: found, cause })?;
-                self.document = document;
-                self.version = *version;
+                let mut document = self.configuration.document.clone();
+                for edit in edits {
+                    apply_edit(&mut document, edit)
+                        .map_err(|cause| FollowError::Edit { position: found, cause })?;
+                }
+                self.configuration =
+                    Arc::new(ConfigurationSnapshot { version: *version, document });
                 changed = true;
             }
             LogBody::Members { joined, removed, in_force } => {
@@ -168,7 +147,7 @@
     /// Returns the position of the entry that made `version`, or the newest position that is
     /// older than every kept entry if `version` is older still; `None` if it does not exist yet.
     pub fn position_of(&self, version: ConfigVersion) -> Option<LogPosition> {
-        if version > self.snapshot.version {
+        if version > self.snapshot.configuration.version {
             return None;
         }
         let makes = |entry: &&LogEntry| matches!(&entry.body, LogBody::Configuration { version: made, .. } if *made == version);
