--- a/crates/decisions/src/shares/fleet_model.rs
+++ b/crates/decisions/src/shares/fleet_model.rs
@@ -6,19 +6,19 @@
 //! is in force that long after a strict majority has confirmed it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Duration;
 
-use dotterellane_protocol::ShareMessage;
+use dotterellane_protocol::{MemberSeat, ShareMessage};
 use dotterellane_settings::document::TeamEntry;
-use dotterellane_units::{
-    ClockInstant, HostId, HostIncarnation, RequestId, RowVersion, TeamId, TokenCount,
-};
+use dotterellane_units::{ClockInstant, HostId, HostIncarnation, RequestId, TeamId, TokenCount};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use super::admissions::{AdmissionMeter, TeamTally};
 use super::baselines::{CentralBucket, HostBucket};
-use super::{ShareAction, ShareMachine, ShareStanding, ShareTimings, SlotMap, SlotOwner};
+use super::timings::widened;
+use super::{ShareAction, ShareMachine, ShareStanding, ShareTimings, SlotMap};
 
 /// How long evidence keeps a host fresh.
 pub const FRESHNESS_SPAN: Duration = Duration::from_secs(3);
@@ -30,6 +30,9 @@
 const UNLISTING_SPAN: Duration = Duration::from_secs(15);
 const DEFAULT_LATENCY: Duration = Duration::from_micros(500);
 
+/// True time at which a model starts, in nanoseconds.
+const START: u64 = 1_000_000_000_000;
+
 /// How teams are held to their rates.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SharePolicy {
@@ -91,7 +94,7 @@
 
 #[derive(Debug)]
 struct ModelHost {
-    owner: SlotOwner,
+    owner: MemberSeat,
     machine: ShareMachine,
     bucket: HostBucket,
     state: HostState,
@@ -100,25 +103,25 @@
     drift_ppm: i64,
     origin: u64,
     died: Option<u64>,
-    heard: BTreeMap<SlotOwner, u64>,
+    heard: BTreeMap<MemberSeat, u64>,
     table_read: Option<u64>,
-    known: RowVersion,
-    map: SlotMap,
-    held: Vec<(SlotOwner, ShareMessage)>,
+    map: Rc<SlotMap>,
+    held: Vec<(MemberSeat, ShareMessage)>,
 }
 
 #[derive(Debug)]
 enum ModelEvent {
-    Deliver { from: SlotOwner, from_group: u32, to: HostId, message: ShareMessage },
+    Deliver { from: MemberSeat, from_group: u32, to: HostId, message: ShareMessage },
     Tick(HostId),
     Gossip,
     Arrival(usize),
-    Refund { host: SlotOwner, team: TeamId, tokens: TokenCount },
+    Refund { host: MemberSeat, team: TeamId, tokens: TokenCount },
 }
 
 /// A request that was sent.
 #[derive(Clone, Debug)]
 struct SentRequest {
+    host: HostId,
     team: TeamId,
     tokens: TokenCount,
     sent: u64,
@@ -133,15 +136,17 @@
     timings: ShareTimings,
     now: u64,
     random: Pcg64Mcg,
+    /// Apart from `random`, so that every policy gets the same load.
+    arrivals: Pcg64Mcg,
     events: BTreeMap<(u64, u64), ModelEvent>,
     next_event: u64,
     hosts: BTreeMap<HostId, ModelHost>,
-    listed: BTreeSet<SlotOwner>,
+    listed: BTreeSet<MemberSeat>,
     listed_changed: u64,
     teams: BTreeMap<TeamId, TeamEntry>,
     table_up: bool,
-    row: (RowVersion, SlotMap),
-    confirmed_by_majority: BTreeMap<RowVersion, u64>,
+    row: Rc<SlotMap>,
+    confirmed_by_majority: BTreeMap<u64, u64>,
     moves_wanted: Option<u64>,
     central: CentralBucket,
     loads: Vec<Option<LoadSource>>,
@@ -152,6 +157,7 @@
     /// What the network does from now on.
     pub network: NetworkFaults,
     messages: BTreeMap<HostId, (u64, u64)>,
+    violation: Option<String>,
     message_size: fn(&ShareMessage) -> usize,
 }
 
@@ -161,8 +167,9 @@
         let mut model = Self {
             policy,
             timings,
-            now: 1_000_000_000_000,
+            now: START,
             random: Pcg64Mcg::seed_from_u64(seed),
+            arrivals: Pcg64Mcg::seed_from_u64(!seed),
             events: BTreeMap::new(),
             next_event: 0,
             hosts: BTreeMap::new(),
@@ -170,7 +177,7 @@
             listed_changed: 0,
             teams: BTreeMap::new(),
             table_up: true,
-            row: (RowVersion(0), SlotMap::default()),
+            row: Rc::default(),
             confirmed_by_majority: BTreeMap::new(),
             moves_wanted: None,
             central: CentralBucket::default(),
@@ -181,6 +188,7 @@
             tallies: BTreeMap::new(),
             network: NetworkFaults::default(),
             messages: BTreeMap::new(),
+            violation: None,
             message_size: |_| 0,
         };
         model.schedule(Duration::ZERO, ModelEvent::Gossip);
@@ -196,9 +204,17 @@
     pub fn set_team(&mut self, team: &TeamId, rates: TeamEntry) {
         self.teams.insert(team.clone(), rates.clone());
         self.central.set_team(team, &rates, self.now);
-        let meter = AdmissionMeter::new(&rates, self.now);
-        self.meters.entry(team.clone()).or_insert(meter).set_rates(&rates, self.now);
-        self.tallies.entry(team.clone()).or_insert_with(|| TeamTally::new(&rates, self.now));
+        let settled = self.now + nanos(widened(self.timings.pledge_term));
+        match self.meters.get_mut(team) {
+            Some(meter) => meter.set_rates(&rates, self.now, settled),
+            None => {
+                self.meters.insert(team.clone(), AdmissionMeter::new(&rates, self.now));
+            }
+        }
+        self.tallies
+            .entry(team.clone())
+            .or_insert_with(|| TeamTally::new(&rates, self.now))
+            .set_rates(&rates, self.now);
         let teams = self.teams.clone();
         for host in self.hosts.values_mut() {
             let now = host.clock(self.now);
@@ -208,13 +224,14 @@
 
     /// Starts a daemon on `host`, or a new one in the place of the old one.
     pub fn start(&mut self, host: &HostId) {
+        self.requests.retain(|_, sent| sent.host != *host);
         let before = self.hosts.get(host).map_or(0, |old| old.owner.incarnation.0);
-        let owner = SlotOwner { host: host.clone(), incarnation: HostIncarnation(before + 1) };
+        let owner = MemberSeat { host: host.clone(), incarnation: HostIncarnation(before + 1) };
         let mut machine = ShareMachine::new(owner.clone(), self.timings);
         let mut started = ModelHost {
             owner,
             machine: ShareMachine::new(
-                SlotOwner { host: host.clone(), incarnation: HostIncarnation(0) },
+                MemberSeat { host: host.clone(), incarnation: HostIncarnation(0) },
                 self.timings,
             ),
             bucket: HostBucket::default(),
@@ -222,12 +239,11 @@
             group: 0,
             reaches_table: true,
             drift_ppm: self.hosts.get(host).map_or(0, |old| old.drift_ppm),
-            origin: self.random.random_range(0..1_000_000_000),
+            origin: self.random.random_range(100_000_000_000..200_000_000_000),
             died: None,
             heard: BTreeMap::new(),
             table_read: None,
-            known: RowVersion(0),
-            map: SlotMap::default(),
+            map: Rc::default(),
             held: Vec::new(),
         };
         machine.set_teams(&self.teams, started.clock(self.now));
@@ -242,6 +258,8 @@
     /// Kills the daemon on `host`.
     pub fn kill(&mut self, host: &HostId) {
         let now = self.now;
+        // Its callers' connections break.
+        self.requests.retain(|_, sent| sent.host != *host);
         if let Some(host) = self.hosts.get_mut(host) {
             host.state = HostState::Dead;
             host.died = Some(now);
@@ -250,7 +268,9 @@
 
     /// Stops the daemon on `host` between two steps; its clock runs on.
     pub fn pause(&mut self, host: &HostId) {
-        if let Some(host) = self.hosts.get_mut(host) {
+        if let Some(host) = self.hosts.get_mut(host)
+            && host.state == HostState::Running
+        {
             host.state = HostState::Paused;
         }
     }
@@ -258,12 +278,20 @@
     /// Lets a paused daemon go on, first of all with the messages that came meanwhile.
     pub fn resume(&mut self, host: &HostId) {
         let Some(paused) = self.hosts.get_mut(host) else { return };
+        if paused.state != HostState::Paused {
+            return;
+        }
         paused.state = HostState::Running;
         for (from, message) in std::mem::take(&mut paused.held) {
             self.deliver(&from, host, &message);
         }
     }
 
+    /// Tells whether the daemon on `host` runs.
+    pub fn is_running(&self, host: &HostId) -> bool {
+        self.hosts.get(host).is_some_and(|host| host.state == HostState::Running)
+    }
+
     /// Puts `host` into a part of the network that reaches only its like.
     pub fn set_group(&mut self, host: &HostId, group: u32, reaches_table: bool) {
         if let Some(host) = self.hosts.get_mut(host) {
@@ -357,6 +385,36 @@
         live.map(|host| (host.owner.host.clone(), host.machine.usable_slots())).collect()
     }
 
+    /// Returns the first moment at which the hosts together held more than a team's burst, or
+    /// added tokens faster than its rate.
+    pub fn violation(&self) -> Option<&str> {
+        self.violation.as_deref()
+    }
+
+    fn check_holdings(&mut self) {
+        let now = self.now;
+        for (team, meter) in &mut self.meters {
+            let limits = meter.limits(now);
+            let (mut tokens, mut rate) = (TokenCount(0), 0);
+            for host in self.hosts.values().filter(|host| host.state != HostState::Dead) {
+                let held =
+                    host.machine.holdings(team, host.is_fresh(&self.listed, now), host.clock(now));
+                tokens += held.tokens;
+                rate += held.rate;
+            }
+            if self.violation.is_none()
+                && (tokens > limits.burst || rate > limits.rate.milli_tokens())
+            {
+                let at = Duration::from_nanos(now - START);
+                self.violation = Some(format!(
+                    "{at:?}: {team} has {tokens} tokens of {} and adds {rate} of {} thousandths",
+                    limits.burst,
+                    limits.rate.milli_tokens()
+                ));
+            }
+        }
+    }
+
     fn schedule(&mut self, after: Duration, event: ModelEvent) {
         self.next_event += 1;
         self.events.insert((self.now + nanos(after), self.next_event), event);
@@ -383,7 +441,7 @@
         }
     }
 
-    fn deliver(&mut self, from: &SlotOwner, to: &HostId, message: &ShareMessage) {
+    fn deliver(&mut self, from: &MemberSeat, to: &HostId, message: &ShareMessage) {
         let Some(host) = self.hosts.get_mut(to) else { return };
         match host.state {
             HostState::Dead => {}
@@ -428,18 +486,18 @@
         S: FnOnce(&mut ShareMachine, ClockInstant) -> Vec<ShareAction>,
     {
         let (now, in_force) = (self.now, self.in_force());
-        let listed = self.listed.clone();
         let Some(host) = self.hosts.get_mut(host) else { return };
         let clock = host.clock(now);
+        let fresh = host.is_fresh(&self.listed, now);
         let standing =
-            ShareStanding { fresh: host.is_fresh(&listed, now), slots_in_force: in_force };
+            ShareStanding { fresh, slots_known: host.map.change, slots_in_force: in_force };
         let mut actions = host.machine.set_standing(standing, clock);
         actions.extend(step(&mut host.machine, clock));
         let owner = host.owner.clone();
         self.act(&owner, actions);
     }
 
-    fn act(&mut self, owner: &SlotOwner, actions: Vec<ShareAction>) {
+    fn act(&mut self, owner: &MemberSeat, actions: Vec<ShareAction>) {
         for action in actions {
             match action {
                 ShareAction::Send { to, message } => self.send(owner, to, message),
@@ -458,7 +516,7 @@
         }
     }
 
-    fn admit(&mut self, owner: &SlotOwner, request: RequestId, team: &TeamId, tokens: TokenCount) {
+    fn admit(&mut self, owner: &MemberSeat, request: RequestId, team: &TeamId, tokens: TokenCount) {
         let sent = self.requests.remove(&request);
         if let Some(meter) = self.meters.get_mut(team) {
             meter.admit(tokens, self.now);
@@ -476,7 +534,7 @@
         }
     }
 
-    fn refund(&mut self, owner: &SlotOwner, team: &TeamId, tokens: TokenCount) {
+    fn refund(&mut self, owner: &MemberSeat, team: &TeamId, tokens: TokenCount) {
         let Some(host) = self.hosts.get_mut(&owner.host) else { return };
         if host.owner != *owner || host.state != HostState::Running {
             return;
@@ -501,7 +559,7 @@
         }
     }
 
-    fn send(&mut self, from: &SlotOwner, to: HostId, message: ShareMessage) {
+    fn send(&mut self, from: &MemberSeat, to: HostId, message: ShareMessage) {
         let Some(sender) = self.hosts.get(&from.host) else { return };
         let from_group = sender.group;
         let sent = self.messages.entry(from.host.clone()).or_default();
@@ -524,13 +582,15 @@
 
     fn arrive(&mut self, number: usize) {
         let Some(load) = self.loads.get(number).cloned().flatten() else { return };
-        let gap = -(1.0 - self.random.random_range(0.0..1.0_f64)).ln() / load.requests;
+        let gap = -(1.0 - self.arrivals.random_range(0.0..1.0_f64)).ln() / load.requests;
         self.schedule(Duration::from_secs_f64(gap), ModelEvent::Arrival(number));
-        let tokens = TokenCount(self.random.random_range(load.tokens.0..=load.tokens.1));
+        let tokens = TokenCount(self.arrivals.random_range(load.tokens.0..=load.tokens.1));
         let Some(host) = self.pick_host(&load) else { return };
         let tally = self.tallies.entry(load.team.clone()).or_default();
         let in_rate = tally.note_sent(tokens, self.now, load.shaped);
         if in_rate || !load.shaped {
+            // What an overloaded team is refused is nobody's loss.
+            let in_rate = in_rate && load.shaped;
             self.charge(&host, &load.team, tokens, load.patience, load.unused, in_rate);
         }
     }
@@ -550,7 +610,7 @@
         if total <= 0.0 {
             return choices.first().map(|(host, _)| host.clone());
         }
-        let mut point = self.random.random_range(0.0..total);
+        let mut point = self.arrivals.random_range(0.0..total);
         let found = choices.iter().find(|(_, weight)| {
             point -= weight;
             point < 0.0
@@ -582,7 +642,14 @@
     ) -> RequestId {
         self.next_request += 1;
         let request = RequestId(self.next_request);
-        let sent = SentRequest { team: team.clone(), tokens, sent: self.now, in_rate, unused };
+        let sent = SentRequest {
+            host: host.clone(),
+            team: team.clone(),
+            tokens,
+            sent: self.now,
+            in_rate,
+            unused,
+        };
         self.requests.insert(request, sent);
         let deadline = ClockInstant(self.now) + patience;
         match self.policy {
@@ -603,7 +670,7 @@
             SharePolicy::CentralBucket => {
                 let charge = (request, tokens, deadline.0);
                 let actions = self.central.charge(team, charge, self.table_up, self.now);
-                let owner = SlotOwner { host: host.clone(), incarnation: HostIncarnation(1) };
+                let owner = MemberSeat { host: host.clone(), incarnation: HostIncarnation(1) };
                 self.act(&owner, actions);
             }
         }
@@ -615,38 +682,41 @@
         self.requests.contains_key(&request)
     }
 
-    fn in_force(&self) -> RowVersion {
+    fn in_force(&self) -> u64 {
         let old = |at: &u64| self.now - at >= nanos(FRESHNESS_SPAN) + nanos(FRESHNESS_SPAN) / 100;
-        let mut in_force = RowVersion(0);
-        for (version, at) in &self.confirmed_by_majority {
-            if old(at) || self.confirmed_by_all(*version) {
-                in_force = *version;
+        let mut in_force = 0;
+        for (change, at) in &self.confirmed_by_majority {
+            if old(at) || self.confirmed_by_all(*change) {
+                in_force = *change;
             }
         }
         in_force
     }
 
-    fn confirmed_by_all(&self, version: RowVersion) -> bool {
+    fn confirmed_by_all(&self, change: u64) -> bool {
         self.listed.iter().all(|owner| {
             let host = self.hosts.get(&owner.host);
-            host.is_some_and(|host| host.owner == *owner && host.known >= version)
+            host.is_some_and(|host| host.owner == *owner && host.map.change >= change)
         })
     }
 
     fn gossip(&mut self) {
+        if self.policy == SharePolicy::Ledgers {
+            self.check_holdings();
+        }
         self.read_table();
-        let states: Vec<(SlotOwner, u32, RowVersion, SlotMap)> = self
+        let states: Vec<(MemberSeat, u32, Rc<SlotMap>)> = self
             .hosts
             .values()
             .filter(|host| host.state == HostState::Running)
-            .map(|host| (host.owner.clone(), host.group, host.known, host.map.clone()))
+            .map(|host| (host.owner.clone(), host.group, host.map.clone()))
             .collect();
         let now = self.now;
         for host in self.hosts.values_mut().filter(|host| host.state == HostState::Running) {
-            for (owner, group, known, map) in &states {
+            for (owner, group, map) in &states {
                 if *group == host.group {
                     host.heard.insert(owner.clone(), now);
-                    host.learn(*known, map, now);
+                    host.learn(map, now);
                 }
             }
             host.see_members(now);
@@ -658,25 +728,25 @@
 
     fn read_table(&mut self) {
         let (now, up) = (self.now, self.table_up);
-        let (version, map) = self.row.clone();
+        let map = self.row.clone();
         let readers = self
             .hosts
             .values_mut()
             .filter(|host| up && host.reaches_table && host.state == HostState::Running);
         for host in readers {
             host.table_read = Some(now);
-            host.learn(version, &map, now);
+            host.learn(&map, now);
         }
     }
 
     fn count_confirmations(&mut self) {
-        let (version, _) = self.row;
+        let change = self.row.change;
         let confirmed = self.listed.iter().filter(|owner| {
             let host = self.hosts.get(&owner.host);
-            host.is_some_and(|host| host.owner == **owner && host.known >= version)
+            host.is_some_and(|host| host.owner == **owner && host.map.change >= change)
         });
-        if version > RowVersion(0) && confirmed.count() * 2 > self.listed.len() {
-            self.confirmed_by_majority.entry(version).or_insert(self.now);
+        if change > 0 && confirmed.count() * 2 > self.listed.len() {
+            self.confirmed_by_majority.entry(change).or_insert(self.now);
         }
     }
 
@@ -686,7 +756,8 @@
         if !self.table_up || (!self.listed.is_empty() && !settled) {
             return;
         }
-        let current = |owner: &SlotOwner| self.hosts.get(&owner.host).filter(|h| h.owner == *owner);
+        let current =
+            |owner: &MemberSeat| self.hosts.get(&owner.host).filter(|h| h.owner == *owner);
         let long = nanos(UNLISTING_SPAN);
         let gone = self.listed.iter().find(|owner| {
             current(owner).is_none_or(|host| host.died.is_some_and(|at| self.now - at >= long))
@@ -709,7 +780,7 @@
     }
 
     fn move_slots(&mut self) {
-        let members: Vec<SlotOwner> = self
+        let members: Vec<MemberSeat> = self
             .listed
             .iter()
             .filter(|owner| {
@@ -719,7 +790,7 @@
             })
             .cloned()
             .collect();
-        let wanted = self.row.1.rebalanced(&members).filter(|_| self.table_up);
+        let wanted = self.row.rebalanced(&members).filter(|_| self.table_up);
         let Some(map) = wanted else {
             self.moves_wanted = None;
             return;
@@ -729,7 +800,7 @@
             return;
         }
         self.moves_wanted = None;
-        self.row = (self.row.0.next(), map);
+        self.row = Rc::new(map);
     }
 }
 
@@ -740,18 +811,17 @@
         ClockInstant(u64::try_from(reading).unwrap_or(0))
     }
 
-    fn is_fresh(&self, listed: &BTreeSet<SlotOwner>, now: u64) -> bool {
+    fn is_fresh(&self, listed: &BTreeSet<MemberSeat>, now: u64) -> bool {
         let recent = |at: &u64| now - at < nanos(FRESHNESS_SPAN);
         let heard = listed.iter().filter(|owner| self.heard.get(owner).is_some_and(recent));
         self.table_read.as_ref().is_some_and(recent) || heard.count() * 2 > listed.len()
     }
 
-    fn learn(&mut self, version: RowVersion, map: &SlotMap, now: u64) {
-        if version > self.known {
-            self.known = version;
+    fn learn(&mut self, map: &Rc<SlotMap>, now: u64) {
+        if map.change > self.map.change {
             self.map = map.clone();
             let now = self.clock(now);
-            self.machine.set_slots(map, version, now);
+            self.machine.set_slots(map, now);
         }
     }
 
--- a/crates/dotterellane/src/cli.rs
+++ b/crates/dotterellane/src/cli.rs
@@ -1,8 +1,14 @@
 //! The command line. Doc comments are the help texts.
 
+pub mod operators;
+
+use std::path::PathBuf;
+
 use clap::{Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 
+use crate::cli::operators::{ConnectionArguments, OperatorCommand};
+
 /// Serves rarely used models that many teams share
 #[derive(Debug)]
 #[derive(Parser)]
@@ -16,6 +22,10 @@
     #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
     pub log_format: LogFormat,
 
+    /// How the operators' commands reach the fleet
+    #[command(flatten)]
+    pub connection: ConnectionArguments,
+
     /// What to do
     #[command(subcommand)]
     pub command: Command,
@@ -34,6 +44,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// The operators' commands
+    #[command(flatten)]
+    Operator(OperatorCommand),
+    /// Run one daemon
+    Serve {
+        /// Settings of the daemon, in YAML
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
     /// Print shell completions
     Completions {
         /// Shell that they are for
--- a/crates/fleet/src/log_state.rs
+++ b/crates/fleet/src/log_state.rs
@@ -1,8 +1,8 @@
 //! Hard state as the log of changes makes it, up to the entry that this daemon follows.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
-use dotterellane_decisions::membership::MemberLists;
+use dotterellane_decisions::membership::{MemberChange, MemberLists};
 use dotterellane_protocol::{LogBody, LogEntry, LogPosition};
 use dotterellane_settings::document::ConfigurationDocument;
 use dotterellane_units::ConfigVersion;
@@ -58,6 +58,19 @@
     pub version: ConfigVersion,
     /// The document, by section.
     pub document: Value,
+    /// Newest entry of each kind of other hard state.
+    #[serde(default)]
+    pub others: BTreeMap<String, OtherState>,
+}
+
+/// Newest entry of one kind of other hard state.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct OtherState {
+    /// Position of the entry.
+    pub position: LogPosition,
+    /// Its content.
+    pub content: Vec<u8>,
 }
 
 impl Default for LogSnapshot {
@@ -67,6 +80,7 @@
             lists: MemberLists::default(),
             version: ConfigVersion(0),
             document: Value::Object(Map::new()),
+            others: BTreeMap::new(),
         }
     }
 }
@@ -102,10 +116,15 @@
                 self.version = *version;
                 changed = true;
             }
-            LogBody::Members { joined, removed } => {
-                self.lists = self.lists.changed(found, joined, removed);
+            LogBody::Members { joined, removed, in_force } => {
+                let in_force = *in_force;
+                let change = MemberChange { position: found, joined, removed, in_force };
+                self.lists = self.lists.changed(&change);
+            }
+            LogBody::Other { kind, content } => {
+                let other = OtherState { position: found, content: content.clone() };
+                self.others.insert(kind.clone(), other);
             }
-            LogBody::Other { .. } => {}
         }
         self.position = found;
         Ok(changed)
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -10,14 +10,15 @@
 use dotterellane_platform::{HostList, ObjectStore, PlatformTable, TableTransaction};
 use dotterellane_protocol::{LogBody, LogEntry, LogHeads, MemberRecord, MemberSeat};
 use dotterellane_units::{ClockSource, DomainId, HostId, HostIncarnation, RequestId};
-use prometheus::{IntCounter, Registry};
+use prometheus::Registry;
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::control::{AppendError, ControlServices, FleetControl};
-use crate::log_store::{LogError, LogStore};
-use crate::members::{JOIN_PERIOD, TEND_PERIOD};
+use crate::control_metrics::ControlMetrics;
+use crate::log_store::{LogError, LogStore, bounded, decode};
+use crate::members::{JOIN_PERIOD, TEND_PERIOD, member_key};
 use crate::transport::{InboxKind, PeerTransport};
 use crate::{
     AdministrationPorts, ConfigurationFeed, ConfigurationSnapshot, FleetPorts, MemberFeed,
@@ -81,7 +82,7 @@
     pub seat: MemberSeat,
     /// Where this daemon receives datagrams.
     pub address: SocketAddr,
-    control: Arc<FleetControl>,
+    pub(crate) control: Arc<FleetControl>,
     inboxes: Mutex<BTreeMap<InboxKind, PeerInbox>>,
     subscriptions: Vec<TimerSubscription>,
     stopped: CancellationToken,
@@ -98,7 +99,9 @@
     timers: &TimerService,
     registry: &Registry,
 ) -> Result<FleetNode, NodeError> {
-    let seat = MemberSeat { host: settings.host, incarnation: new_incarnation() };
+    let incarnation = listed_incarnation(&platform.table, &settings.host).await.next();
+    let incarnation = incarnation.max(clock_incarnation());
+    let seat = MemberSeat { host: settings.host, incarnation };
     let stopped = CancellationToken::new();
     let socket = |cause| NodeError::Socket { address: settings.peers, cause };
     let started = PeerTransport::start(
@@ -110,11 +113,6 @@
     );
     let (transport, mut inboxes) = started.await.map_err(socket)?;
     let address = transport.address().map_err(socket)?;
-    let platform_errors = IntCounter::new(
-        "dotterellane_platform_errors_total",
-        "Calls of the platform that failed, of membership and configuration.",
-    )?;
-    registry.register(Box::new(platform_errors.clone()))?;
     let configuration = ConfigurationFeed::new(ConfigurationSnapshot::default());
     let services = ControlServices {
         clock: clock.clone(),
@@ -122,7 +120,7 @@
         store: LogStore::new(platform.table, platform.objects),
         hosts: platform.hosts,
         configuration: configuration.clone(),
-        platform_errors,
+        metrics: ControlMetrics::register(registry)?,
     };
     let record = MemberRecord { seat: seat.clone(), domain: settings.domain, address };
     let control = Arc::new(FleetControl::new(record, services, rand::random()));
@@ -204,7 +202,7 @@
         }
         .await;
         if let Err(error) = followed {
-            self.platform_errors.inc();
+            self.metrics.platform_errors.inc();
             spdlog::warn!("{error}");
         }
     }
@@ -220,7 +218,15 @@
 }
 
 /// Returns the milliseconds since the Unix epoch: later daemons on a host have a higher number.
-fn new_incarnation() -> HostIncarnation {
+fn clock_incarnation() -> HostIncarnation {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     HostIncarnation(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
+
+/// Returns the incarnation that is listed for `host`: a clock may have been set back since.
+async fn listed_incarnation(table: &PlatformTable, host: &HostId) -> HostIncarnation {
+    let rows = bounded("read member", table.read(vec![member_key(host)])).await;
+    let rows = rows.unwrap_or_default();
+    let record = rows.first().and_then(|row| decode::<MemberRecord>("read member", row).ok());
+    record.map_or(HostIncarnation(0), |record| record.seat.incarnation)
+}
--- a/crates/protocol/src/gossip.rs
+++ b/crates/protocol/src/gossip.rs
@@ -88,6 +88,8 @@
         joined: Vec<MemberRecord>,
         /// Seats that are listed no more.
         removed: Vec<MemberSeat>,
+        /// Newest entry that the author knew to be in force; lists that this settles are dropped.
+        in_force: LogPosition,
     },
     /// Other hard state, such as the owner of share slots; its owner knows the encoding.
     Other {
@@ -150,7 +152,8 @@
     pub levels: Vec<AgeLevel>,
     /// Position that the bits are about.
     pub confirmed: LogPosition,
-    /// One bit a seat, in the order of the list: whether it confirmed that position.
+    /// One bit a seat, in the order of the list: whether it confirmed that position; none once it
+    /// is in force.
     pub confirmed_bits: Vec<u8>,
     /// One bit a seat: whether it said that it leaves.
     pub leaving_bits: Vec<u8>,
--- a/crates/settings/src/validation.rs
+++ b/crates/settings/src/validation.rs
@@ -48,6 +48,19 @@
     if faults.is_empty() { Ok(()) } else { Err(DocumentFaults::new("document", "", faults)) }
 }
 
+/// Checks a document that is to follow another one.
+///
+/// # Errors
+/// Gives every fault of the newer document and of the change, without lines.
+pub fn check_successor(
+    older: &ConfigurationDocument,
+    newer: &ConfigurationDocument,
+) -> Result<(), DocumentFaults> {
+    let mut faults = rules::check_rules(newer, &KnownNames::of(newer));
+    faults.extend(rules::check_change(older, newer));
+    if faults.is_empty() { Ok(()) } else { Err(DocumentFaults::new("document", "", faults)) }
+}
+
 /// Writes a document as YAML.
 ///
 /// # Panics
@@ -224,6 +237,8 @@
         }
         if let Err(message) = rule.check(&field.node.to_json()) {
             let help = format!("write for example {}", rule.example);
+            // Units give an example of their own, which the help repeats.
+            let message = message.split("; write for example").next().unwrap_or_default();
             self.fault(DocumentFault::new(path, message, help).at(field.node.place));
         }
     }
