Say what a host does not know in place of zero

Cause: figures that a daemon does not have yet were shown as zero: idle models, no cold starts, silent runners. Change: such parts of the overview are absent, and shown as not known by the console, status, team and model. Conclusion: the overview shows nothing that is not known to be so.

--- a/crates/admin/console/overview.js
+++ b/crates/admin/console/overview.js
@@ -37,14 +37,19 @@
   return domains.map((domain) => make("div", { className: "domain" }, make("h3", {}, domain), draw(items.filter((item) => item.domain === domain))));
 }
 
+const UNKNOWN = "not known";
+
+function known(value, text) { return value === null || value === undefined ? "?" : text(value); }
+
 function seconds(value) { return value >= 10 ? `${value.toFixed(0)} s` : `${value.toFixed(1)} s`; }
 
 function teamsPanel({ teams }) {
-  const bars = teams.map((team) => boundBar(team.team, team.used, team.rate, `${Math.round(team.used)} / ${Math.round(team.rate)}`));
+  const bars = teams.map((team) => boundBar(team.team, team.used ?? 0, team.rate, `${known(team.used, Math.round)} / ${Math.round(team.rate)}`));
   return panel("Teams: tokens a second against rate", "", ...(bars.length ? bars : [empty("No teams yet.")]));
 }
 
 function modelsPanel({ models }) {
+  if (!models) return panel("Models", "wide", empty("This host does not know the models' state."));
   const count = (state) => models.filter((model) => model.state === state).length;
   const shown = (state) => models.filter((model) => model.state === state).slice(0, state === "idle" ? MAX_IDLE_TILES : undefined);
   const hidden = Math.max(0, count("idle") - MAX_IDLE_TILES);
@@ -60,8 +65,9 @@
 
 function runnersPanel({ runners }) {
   const draw = (list) => make("div", {}, ...list.map((runner) => {
-    const mark = runner.answers ? (runner.leaving ? " (leaving)" : "") : " (silent)";
-    return boundBar(runner.runner + mark, runner.used, runner.memory, `${(runner.used / GIB).toFixed(0)} / ${(runner.memory / GIB).toFixed(0)} GiB`);
+    const mark = runner.answers === false ? " (silent)" : runner.leaving ? " (leaving)" : "";
+    const used = known(runner.used, (bytes) => (bytes / GIB).toFixed(0));
+    return boundBar(runner.runner + mark, runner.used ?? 0, runner.memory, `${used} / ${(runner.memory / GIB).toFixed(0)} GiB`);
   }));
   return panel("Runners' memory", "", ...(runners.length ? byDomain(runners, draw) : [empty("No runners yet.")]));
 }
@@ -75,12 +81,14 @@
 }
 
 function coldPanel({ cold_starts: cold }) {
+  if (!cold) return panel("Cold starts", "", empty(UNKNOWN));
   const longest = Math.max(cold.p99_seconds, 0.001);
   const line = (name, value) => bar(name, value / longest, seconds(value));
   return panel("Cold starts", "", ...(cold.count ? [line("half within", cold.p50_seconds), line("95 in 100", cold.p95_seconds), line("99 in 100", cold.p99_seconds)] : [empty("None so far.")]));
 }
 
 function refusalsPanel({ refusals }) {
+  if (!refusals) return panel("Refusals by cause", "", empty(UNKNOWN));
   const most = Math.max(1, ...refusals.map((refusal) => refusal.count));
   const bars = refusals.filter((refusal) => refusal.count > 0).map((refusal) => bar(refusal.cause, refusal.count / most, String(refusal.count)));
   return panel("Refusals by cause", "", ...(bars.length ? bars : [empty("None so far.")]));
@@ -88,14 +96,16 @@
 
 export function drawOverview(main, overview) {
   const { table, teams, hosts, models, cold_starts: cold } = overview;
-  const ago = table.answered_ago_seconds === null ? "never answered" : `answered ${seconds(table.answered_ago_seconds)} ago`;
+  const ago = table.answered_ago_seconds === null ? "last answer not known" : `answered ${seconds(table.answered_ago_seconds)} ago`;
   const alive = hosts.filter((host) => host.alive).length;
-  const inRate = teams.reduce((sum, team) => sum + team.refused_in_rate, 0);
+  const inRate = teams.some((team) => team.refused_in_rate === null) ? "?" : String(teams.reduce((sum, team) => sum + team.refused_in_rate, 0));
+  const loaded = known(models, (list) => `${list.filter((model) => model.state === "loaded").length} / ${list.length}`);
+  const cold95 = known(cold, ({ count, p95_seconds: value }) => (count ? seconds(value) : "–"));
   const figures = make("div", { className: "figures" },
     figure(`${alive} / ${hosts.length}`, "hosts heard"),
-    figure(`${models.filter((model) => model.state === "loaded").length} / ${models.length}`, "models loaded"),
-    figure(String(inRate), "refused inside the rate"),
-    figure(cold.count ? seconds(cold.p95_seconds) : "–", "cold start, 95 in 100"),
+    figure(loaded, "models loaded"),
+    figure(inRate, "refused inside the rate"),
+    figure(cold95, "cold start, 95 in 100"),
     figure(table.reachable ? "up" : "down", `table, ${ago}`));
   const warning = table.reachable ? null : make("div", { className: "notice bad", role: "alert" }, "The table does not answer: no change can be accepted. Requests go on.");
   const panels = make("div", { className: "panels" },
--- a/crates/admin/examples/console.rs
+++ b/crates/admin/examples/console.rs
@@ -34,11 +34,11 @@
         TeamUse {
             team: id.to_string(),
             rate,
-            used: rate * [0.42, 1.0, 0.86, 0.07, 0.3][index % 5],
-            level: entry.burst.0 / 2,
+            used: Some(rate * [0.42, 1.0, 0.86, 0.07, 0.3][index % 5]),
+            level: Some(entry.burst.0 / 2),
             burst: entry.burst.0,
-            refused_over_rate: [0, 214, 3, 0, 0][index % 5],
-            refused_in_rate: 0,
+            refused_over_rate: Some([0, 214, 3, 0, 0][index % 5]),
+            refused_in_rate: Some(0),
         }
     });
     let models = document.models.keys().enumerate().map(|(index, id)| ModelUse {
@@ -62,10 +62,13 @@
             runner: id.to_string(),
             domain: upstream.domain.to_string(),
             memory: runner.memory.0,
-            used: runner.memory.0 / 10
-                * (id.as_str().len() as u64 * 7 % 9 + u64::from(id.as_str().as_bytes()[12]) % 5),
-            running: 3,
-            answers: id.as_str() != "plan-models-4",
+            used: Some(
+                runner.memory.0 / 10
+                    * (id.as_str().len() as u64 * 7 % 9
+                        + u64::from(id.as_str().as_bytes()[12]) % 5),
+            ),
+            running: Some(3),
+            answers: (id.as_str() != "plan-models-9").then_some(id.as_str() != "plan-models-4"),
             leaving: false,
         }),
     });
@@ -78,21 +81,21 @@
     });
     FleetOverview {
         teams: teams.collect(),
-        models,
+        models: Some(models),
         runners: runners.collect(),
         hosts: hosts.collect(),
-        cold_starts: ColdStarts {
+        cold_starts: Some(ColdStarts {
             count: 118,
             p50_seconds: 3.2,
             p95_seconds: 11.4,
             p99_seconds: 19.0,
-        },
-        refusals: vec![
+        }),
+        refusals: Some(vec![
             RefusalCount { cause: "over rate".to_owned(), count: 217 },
             RefusalCount { cause: "too late".to_owned(), count: 12 },
             RefusalCount { cause: "not fresh".to_owned(), count: 2 },
-        ],
-        table: TableHealth { reachable: true, answered_ago_seconds: Some(0.4), failures: 1 },
+        ]),
+        table: TableHealth { reachable: true, answered_ago_seconds: Some(0.4), failures: Some(1) },
         keys: Vec::new(),
     }
 }
--- a/crates/admin/src/overview.rs
+++ b/crates/admin/src/overview.rs
@@ -3,7 +3,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-/// The state of the fleet as one daemon sees it.
+/// The state of the fleet as one daemon sees it; what it does not know is absent.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, JsonSchema, Serialize)]
 #[serde(default)]
@@ -11,15 +11,15 @@
     /// Use of each team's share.
     pub teams: Vec<TeamUse>,
     /// State of each model.
-    pub models: Vec<ModelUse>,
+    pub models: Option<Vec<ModelUse>>,
     /// Memory of each runner.
     pub runners: Vec<RunnerUse>,
     /// The hosts of the system.
     pub hosts: Vec<HostState>,
     /// Times from a request for a model that was not loaded to its first token.
-    pub cold_starts: ColdStarts,
+    pub cold_starts: Option<ColdStarts>,
     /// Refused requests by cause since the daemon started.
-    pub refusals: Vec<RefusalCount>,
+    pub refusals: Option<Vec<RefusalCount>>,
     /// The platform's table.
     pub table: TableHealth,
     /// When keys were last used; keys never used are absent.
@@ -35,15 +35,15 @@
     /// The team's rate, in tokens a second.
     pub rate: f64,
     /// Tokens charged a second, over the last minute.
-    pub used: f64,
+    pub used: Option<f64>,
     /// Tokens that can be admitted at once.
-    pub level: u64,
+    pub level: Option<u64>,
     /// The team's burst, in tokens.
     pub burst: u64,
     /// Requests refused for being over the rate.
-    pub refused_over_rate: u64,
+    pub refused_over_rate: Option<u64>,
     /// Requests refused although inside the rate.
-    pub refused_in_rate: u64,
+    pub refused_in_rate: Option<u64>,
 }
 
 /// Whether a model is ready.
@@ -89,11 +89,11 @@
     /// Accelerator memory, in bytes.
     pub memory: u64,
     /// Accelerator memory in use or reserved, in bytes.
-    pub used: u64,
+    pub used: Option<u64>,
     /// Requests that it runs.
-    pub running: u32,
+    pub running: Option<u32>,
     /// Whether it answers.
-    pub answers: bool,
+    pub answers: Option<bool>,
     /// Whether it is leaving.
     pub leaving: bool,
 }
@@ -142,10 +142,10 @@
 pub struct TableHealth {
     /// Whether the last call was answered.
     pub reachable: bool,
-    /// Seconds since the last answer; absent before the first one.
+    /// Seconds since the last answer.
     pub answered_ago_seconds: Option<f64>,
     /// Calls that failed since the daemon started.
-    pub failures: u64,
+    pub failures: Option<u64>,
 }
 
 /// When a key was last used.
--- a/crates/dotterellane/src/commands/model.rs
+++ b/crates/dotterellane/src/commands/model.rs
@@ -21,6 +21,9 @@
     match command {
         ModelCommand::List => {
             let overview: FleetOverview = client.get("/v1/overview").await?;
+            if overview.models.is_none() {
+                eprintln!("this host does not know the models' state; `config get` lists them");
+            }
             model_table(&overview).print();
             Ok(ExitCode::Success)
         }
--- a/crates/dotterellane/src/commands/status.rs
+++ b/crates/dotterellane/src/commands/status.rs
@@ -1,5 +1,6 @@
 //! `status` and `top`: the state of the fleet as one host sees it.
 
+use std::fmt::Display;
 use std::io::{IsTerminal, stdout};
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 const GOOD: Style = AnsiColor::Green.on_default();
 const BAD: Style = AnsiColor::Red.on_default().bold();
 const HEADING: Style = Style::new().bold().underline();
+const UNKNOWN: &str = "not known";
 /// Clears the terminal and puts the cursor at its top.
 const CLEAR: &str = "\x1b[2J\x1b[H";
 
@@ -62,11 +64,11 @@
     for team in &overview.teams {
         table.row([
             team.team.clone(),
-            bar_text(team.used, team.rate),
-            format!("{:.0}", team.used),
+            bar_text(team.used.unwrap_or_default(), team.rate),
+            known_text(team.used.map(|used| format!("{used:.0}"))),
             format!("{:.0}", team.rate),
-            format!("{}/{}", team.level, team.burst),
-            format!("{}/{}", team.refused_over_rate, team.refused_in_rate),
+            format!("{}/{}", known_text(team.level), team.burst),
+            format!("{}/{}", known_text(team.refused_over_rate), known_text(team.refused_in_rate)),
         ]);
     }
     table
@@ -75,7 +77,7 @@
 /// Returns the models with their state.
 pub fn model_table(overview: &FleetOverview) -> Table<5> {
     let mut table = Table::new(["MODEL", "STATE", "SLOTS", "LOADED ON", "WAITING"]);
-    for model in &overview.models {
+    for model in overview.models.iter().flatten() {
         let state = match model.state {
             ModelState::Loaded => "loaded",
             ModelState::Loading => "loading",
@@ -96,17 +98,18 @@
     let mut table = Table::new(["RUNNER", "DOMAIN", "MEMORY", "GIB USED/ALL", "RUNNING", "STATE"]);
     for runner in &overview.runners {
         let state = match (runner.answers, runner.leaving) {
-            (false, _) => "silent",
-            (true, true) => "leaving",
-            (true, false) => "serving",
+            (Some(false), _) => "silent",
+            (_, true) => "leaving",
+            (Some(true), false) => "serving",
+            (None, false) => UNKNOWN,
         };
         let (used, memory) = (runner.used, runner.memory);
         table.row([
             runner.runner.clone(),
             runner.domain.clone(),
-            bar_text(used as f64, memory as f64),
-            format!("{}/{}", gibibytes_text(used), gibibytes_text(memory)),
-            runner.running.to_string(),
+            bar_text(used.unwrap_or_default() as f64, memory as f64),
+            format!("{}/{}", known_text(used.map(gibibytes_text)), gibibytes_text(memory)),
+            known_text(runner.running),
             state.to_owned(),
         ]);
     }
@@ -128,33 +131,49 @@
 
 fn print_overview(overview: &FleetOverview) {
     print_health(&overview.table);
-    let cold = &overview.cold_starts;
-    println!(
-        "cold starts: {}, p50 {:.1} s, p95 {:.1} s, p99 {:.1} s",
-        cold.count, cold.p50_seconds, cold.p95_seconds, cold.p99_seconds
-    );
-    let refusals =
-        overview.refusals.iter().map(|refusal| format!("{} {}", refusal.count, refusal.cause));
-    let refusals: Vec<String> = refusals.collect();
-    let refusals = if refusals.is_empty() { "none".to_owned() } else { refusals.join(", ") };
-    println!("refusals: {refusals}");
+    match &overview.cold_starts {
+        Some(cold) => println!(
+            "cold starts: {}, p50 {:.1} s, p95 {:.1} s, p99 {:.1} s",
+            cold.count, cold.p50_seconds, cold.p95_seconds, cold.p99_seconds
+        ),
+        None => println!("cold starts: {UNKNOWN}"),
+    }
+    println!("refusals: {}", refusals_text(overview));
     print_titled("teams", &team_table(overview));
-    print_titled("models", &model_table(overview));
+    match overview.models {
+        Some(_) => print_titled("models", &model_table(overview)),
+        None => println!("\nmodels: state {UNKNOWN}"),
+    }
     print_titled("runners", &runner_table(overview));
     print_titled("hosts", &host_table(overview));
 }
 
+fn refusals_text(overview: &FleetOverview) -> String {
+    let Some(refusals) = &overview.refusals else { return UNKNOWN.to_owned() };
+    let refusals: Vec<String> =
+        refusals.iter().map(|refusal| format!("{} {}", refusal.count, refusal.cause)).collect();
+    if refusals.is_empty() { "none".to_owned() } else { refusals.join(", ") }
+}
+
+/// Writes what the host may not know.
+fn known_text<T>(value: Option<T>) -> String
+where
+    T: Display,
+{
+    value.map_or("?".to_owned(), |value| value.to_string())
+}
+
 fn print_titled<const COLUMNS: usize>(title: &str, table: &Table<COLUMNS>) {
     println!("\n{HEADING}{title}{HEADING:#}");
     table.print();
 }
 
 fn print_health(table: &TableHealth) {
-    let ago = table
-        .answered_ago_seconds
-        .map_or("never answered".to_owned(), |ago| format!("answered {} ago", span_text(ago)));
+    let ago = table.answered_ago_seconds.map_or("last answer not known".to_owned(), |ago| {
+        format!("answered {} ago", span_text(ago))
+    });
     if table.reachable {
-        println!("table: {GOOD}reachable{GOOD:#}, {ago}, {} failures", table.failures);
+        println!("table: {GOOD}reachable{GOOD:#}, {ago}, {} failures", known_text(table.failures));
     } else {
         println!("table: {BAD}not reachable{BAD:#}, {ago}; no change can be accepted");
     }
--- a/crates/dotterellane/tests/operators.rs
+++ b/crates/dotterellane/tests/operators.rs
@@ -180,7 +180,9 @@
 async fn status_and_top() {
     let bench = TestBench::start();
     let status = run(&bench, &["status"]).await;
-    expect_that!(status.output, contains_substring("table: not reachable, never answered"));
+    expect_that!(status.output, contains_substring("table: not reachable, last answer not known"));
+    // What the host does not know is said so, not shown as zero.
+    expect_that!(status.output, contains_substring("cold starts: not known\nrefusals: not known"));
     let json = run(&bench, &["status", "--json"]).await;
     let json: serde_json::Value = serde_json::from_str(&json.output).unwrap();
     expect_that!(json["table"]["reachable"], eq(&serde_json::json!(false)));
