--- a/crates/decisions/src/freshness.rs
+++ b/crates/decisions/src/freshness.rs
@@ -68,6 +68,7 @@
     seats: Vec<SeatState>,
     confirmed: BTreeMap<MemberSeat, LogPosition>,
     gone: BTreeSet<MemberSeat>,
+    replaced: BTreeSet<MemberSeat>,
     reached: BTreeMap<LogPosition, ClockInstant>,
     calls: BTreeMap<u64, (HostId, ClockInstant)>,
     leaving: bool,
@@ -84,6 +85,7 @@
             seats: Vec::new(),
             confirmed: BTreeMap::new(),
             gone: BTreeSet::new(),
+            replaced: BTreeSet::new(),
             reached: BTreeMap::new(),
             calls: BTreeMap::new(),
             leaving: false,
@@ -283,6 +285,7 @@
         };
         self.seats = lists.current().records.iter().map(|record| state(&record.seat)).collect();
         self.lists = lists.clone();
+        self.replaced = lists.replaced();
         let seats = lists.seats();
         self.confirmed.retain(|seat, _| seats.contains(seat));
         self.gone.retain(|seat| seats.contains(seat));
@@ -309,8 +312,11 @@
     fn count_confirmations(&mut self, now: ClockInstant) {
         let latest = self.reached.keys().next_back().copied();
         let floor = latest.unwrap_or_default().max(self.heads.in_force);
+        // The member lists of entries that are not followed yet are unknown.
+        let countable =
+            |position: &LogPosition| *position > floor && *position <= self.heads.followed;
         let positions: BTreeSet<LogPosition> =
-            self.confirmed.values().copied().filter(|position| *position > floor).collect();
+            self.confirmed.values().copied().filter(countable).collect();
         let blocked = positions.into_iter().rev().find(|position| self.is_blocked(*position));
         if let Some(position) = blocked {
             self.reached.insert(position, now);
@@ -318,8 +324,11 @@
     }
 
     fn is_blocked(&self, position: LogPosition) -> bool {
-        let counts =
-            |seat: &MemberSeat| self.gone.contains(seat) || self.has_confirmed(seat, position);
+        let counts = |seat: &MemberSeat| {
+            self.gone.contains(seat)
+                || self.replaced.contains(seat)
+                || self.has_confirmed(seat, position)
+        };
         self.lists.in_use(self.heads.in_force).iter().all(|list| list.is_blocked(counts))
     }
 
@@ -329,7 +338,10 @@
         let level = |state: &SeatState| {
             state.heard.map_or(AgeLevel::UNHEARD, |at| AgeLevel::covering(now.since(at)))
         };
-        let confirms = records.iter().map(|record| self.has_confirmed(&record.seat, confirmed));
+        // What is in force needs no confirmations any more.
+        let counted = if confirmed > self.heads.in_force { records.len() } else { 0 };
+        let seats = records.iter().take(counted).map(|record| &record.seat);
+        let confirms = seats.map(|seat| self.has_confirmed(seat, confirmed));
         HeardReport {
             list: self.lists.current().made_at,
             levels: self.seats.iter().map(level).collect(),
@@ -349,6 +361,9 @@
             state.heard = state.heard.max(heard);
             state.leaving |= bit(&report.leaving_bits, index);
         }
+        if report.confirmed <= self.heads.in_force {
+            return;
+        }
         for index in 0..self.seats.len() {
             if bit(&report.confirmed_bits, index) {
                 let seat = self.lists.current().records[index].seat.clone();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod runner;
 pub mod service;
 pub mod weight_store;
+
 pub use faulty_runner::{FaultyRunner, RunnerFault};
 pub use service::{PlainService, ServiceFault};
