Test races, long entries and joins beyond the lists in use

Cause: no test had several operators at once, an entry that no datagram holds, or more joining members than lists may be in use. Change: three tests over loopback.

--- a/crates/fleet/tests/node.rs
+++ b/crates/fleet/tests/node.rs
@@ -236,3 +236,59 @@
         fleet.see_each_other().await;
     });
 }
+
+#[gtest]
+fn propose_longer_than_datagram() {
+    run(async {
+        let fleet = Fleet::start(3).await;
+        fleet.see_each_other().await;
+        let mut long = change(1, 0, "a");
+        let entry = long.document.teams.values().next().unwrap().clone();
+        for number in 0..500 {
+            long.document.teams.insert(format!("team-{number}").parse().unwrap(), entry.clone());
+        }
+        fleet.nodes[0].administration.propose(long.clone()).await.unwrap();
+        let follows =
+            |node: &FleetNode| node.ports.configuration.current().document == long.document;
+        until(|| fleet.all(follows)).await;
+    });
+}
+
+#[gtest]
+fn propose_many_at_once() {
+    run(async {
+        let fleet = Fleet::start(3).await;
+        let proposals = (0..30_u128).map(|number| {
+            let node = &fleet.nodes[usize::try_from(number % 3).unwrap()];
+            async move {
+                loop {
+                    let expected = node.ports.configuration.current().version.0;
+                    let change = change(number + 1, expected, &format!("t{number}"));
+                    match node.administration.propose(change).await {
+                        Ok(record) => break record.version,
+                        Err(ProposalError::Raced { .. }) => tokio::task::yield_now().await,
+                        Err(error) => panic!("{error}"),
+                    }
+                }
+            }
+        });
+        let mut versions = futures::future::join_all(proposals).await;
+        versions.sort();
+        let expected: Vec<ConfigVersion> = (1..=30).map(ConfigVersion).collect();
+        expect_that!(versions, eq(&expected));
+        let newest =
+            |node: &FleetNode| node.ports.configuration.current().version == ConfigVersion(30);
+        until(|| fleet.all(newest)).await;
+        let history = fleet.nodes[0].administration.history(100).await.unwrap();
+        expect_that!(history.len(), eq(30));
+    });
+}
+
+#[gtest]
+fn members_join_together() {
+    run(async {
+        // More than the lists that may be in use at a time.
+        let fleet = Fleet::start(12).await;
+        fleet.see_each_other().await;
+    });
+}
