--- a/crates/decisions/tests/freshness/script.rs
+++ b/crates/decisions/tests/freshness/script.rs
@@ -47,7 +47,7 @@
         /// How long.
         seconds: f64,
     },
-    /// Loses so many percent of the messages.
+    /// Loses so many percent of the messages; others come twice and late.
     Loss(u32),
     /// Shows the daemons.
     State,
--- a/crates/decisions/tests/freshness/simulation.rs
+++ b/crates/decisions/tests/freshness/simulation.rs
@@ -98,7 +98,7 @@
     pub table_up: bool,
     /// Whether answers to commits are lost.
     pub answers_lost: bool,
-    /// Messages lost, in percent.
+    /// Messages lost, in percent; above 0 a tenth of the rest comes twice, up to 4 s late.
     pub loss_percent: u32,
     violation: Option<String>,
     promised: LogPosition,
@@ -462,6 +462,11 @@
         }
         let incarnation = receiver.seat.incarnation;
         let event = Event::Deliver { from: from.clone(), message };
+        // A network that loses messages also doubles and delays some.
+        if self.loss_percent > 0 && self.random.random_range(0..10) == 0 {
+            let late = self.random.random_range(0..4 * SECOND);
+            self.push(to, incarnation, late, event.clone());
+        }
         self.push(to, incarnation, delay, event);
     }
 
