--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -1,11 +1,13 @@
 //! The operators' side: administration API and console.
 
 mod access;
+mod certificate;
 mod changes;
 mod console;
 mod context;
 mod endpoints;
 mod issue;
+mod metrics;
 pub mod overview;
 pub mod problem;
 mod server;
--- a/crates/decisions/tests/freshness/main.rs
+++ b/crates/decisions/tests/freshness/main.rs
@@ -34,7 +34,7 @@
         1 => Just(ScenarioCommand::Table("up".to_owned())),
         1 => Just(ScenarioCommand::Answers("lost".to_owned())),
         1 => Just(ScenarioCommand::Answers("kept".to_owned())),
-        1 => host(count).prop_map(|host| ScenarioCommand::Cut(vec![host])),
+        2 => prop::collection::vec(host(count), 1..=count).prop_map(ScenarioCommand::Cut),
         2 => groups.prop_map(split),
         1 => Just(ScenarioCommand::Heal),
         2 => host(count).prop_map(ScenarioCommand::Restart),
@@ -66,9 +66,12 @@
     let config = Config { cases: cases(), failure_persistence: None, ..Config::default() };
     let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
     let mut runner = TestRunner::new_with_rng(config, random);
-    let orders = (any::<u64>(), prop::collection::vec(command(count), 1..40));
-    let checked = runner.run(&orders, |(seed, commands)| {
+    // Half of the orders meet a fleet whose members have all joined.
+    let settling = prop_oneof![Just(0.0), Just(20.0)];
+    let orders = (any::<u64>(), settling, prop::collection::vec(command(count), 1..40));
+    let checked = runner.run(&orders, |(seed, settling, commands)| {
         let mut simulation = Simulation::new(count, seed);
+        simulation.run(Duration::from_secs_f64(settling)).map_err(TestCaseError::fail)?;
         let mut scenario = ScenarioRunner::with(&mut simulation);
         for command in &commands {
             scenario.apply(command).map_err(TestCaseError::fail)?;
@@ -115,3 +118,34 @@
 fn orders_two_hosts() {
     check_orders(2, 3);
 }
+
+/// Bytes a second that the target leaves a daemon for all control, sent and received.
+const CONTROL_BYTES: u64 = 13_000;
+
+/// Bytes that the envelope, UDP and IP add to a message at most.
+const ENVELOPE_BYTES: u64 = 120;
+
+/// Reads a second that the platform's table handles.
+const TABLE_READS: u64 = 2_000;
+
+#[gtest]
+fn rounds_400_members() {
+    let (members, seconds) = (400, 3);
+    let mut simulation = Simulation::listed(members, 4);
+    simulation.run(Duration::from_secs(6)).unwrap();
+    for table_up in [true, false] {
+        simulation.table_up = table_up;
+        simulation.run(Duration::from_secs(4)).unwrap();
+        let (traffic, calls) = (simulation.traffic(), simulation.table_calls());
+        simulation.run(Duration::from_secs(seconds)).unwrap();
+        expect_that!(simulation.all_fresh(), eq(true));
+        let calls = (simulation.table_calls() - calls) / seconds;
+        let messages = simulation.traffic().0 - traffic.0;
+        let bytes = simulation.traffic().1 - traffic.1 + messages * ENVELOPE_BYTES;
+        // Each message is sent by one daemon and received by another.
+        let bytes = 2 * bytes / seconds / u64::try_from(members).unwrap();
+        println!("table up {table_up}: {bytes} bytes/s a daemon, {calls} table calls/s");
+        expect_that!(bytes, lt(CONTROL_BYTES));
+        expect_that!(calls, lt(TABLE_READS / 4));
+    }
+}
--- a/crates/dotterellane/src/daemon.rs
+++ b/crates/dotterellane/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use dotterellane_admin::{AdminOptions, AdminServer};
-use dotterellane_entry::{EntryContext, EntryLimits};
+use dotterellane_entry::{EntryContext, EntryLimits, TlsIdentity};
 use dotterellane_fleet::placement::{OrdersFactory, PlacementParts, PlacementRuntime};
 use dotterellane_fleet::share_slots::SlotLog;
 use dotterellane_fleet::shares::{RunningShares, ShareParts, start_shares};
@@ -12,13 +12,14 @@
     AdministrationPorts, FleetNode, FleetPorts, InboxKind, MemberFeed, NodePlatform, NodeSettings,
     PeerInbox, TimerService, boot_clock, node,
 };
+use dotterellane_settings::daemon::TlsSettings;
 use miette::{IntoDiagnostic, WrapErr, miette};
 use prometheus::Registry;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::overview;
+use crate::{crashes, overview};
 
 /// What a daemon is put together from.
 pub struct DaemonOptions {
@@ -34,6 +35,8 @@
     pub orders: OrdersFactory,
     /// Bounds on what one caller or upstream can take.
     pub limits: EntryLimits,
+    /// Certificate for callers; plain HTTP without it.
+    pub tls: Option<TlsSettings>,
 }
 
 /// A running daemon.
@@ -84,6 +87,8 @@
 /// # Errors
 /// Fails if an address cannot be listened on.
 pub async fn start(options: DaemonOptions) -> miette::Result<DaemonHandle> {
+    // The operators' server takes the process's provider; a second daemon finds it installed.
+    let _ = rustls::crypto::ring::default_provider().install_default();
     let listener = TcpListener::bind(options.entry)
         .await
         .into_diagnostic()
@@ -104,7 +109,11 @@
         dotterellane_admin::serve(options.admin, administration.clone(), overview, registry)
             .into_diagnostic()?;
     let context = EntryContext::new(ports.clone(), platform.table, host);
-    let context = context.with_limits(options.limits);
+    let mut context = context.with_limits(options.limits);
+    context.crashes = crashes::share(&node)?;
+    if let Some(tls) = options.tls {
+        context = context.with_tls(TlsIdentity::load(tls).into_diagnostic()?);
+    }
     let shutdown = CancellationToken::new();
     let serving = dotterellane_entry::serve(listener, context, shutdown.clone());
     Ok(DaemonHandle {
@@ -168,6 +177,6 @@
     }))
 }
 
-fn take_inbox(node: &FleetNode, kind: InboxKind) -> miette::Result<PeerInbox> {
+pub(crate) fn take_inbox(node: &FleetNode, kind: InboxKind) -> miette::Result<PeerInbox> {
     node.take_inbox(kind).ok_or_else(|| miette!("the inbox {kind:?} is taken already"))
 }
--- a/crates/dotterellane/src/demo/mod.rs
+++ b/crates/dotterellane/src/demo/mod.rs
@@ -1,6 +1,6 @@
 //! A whole fleet in one process, with stand-ins for the platform and the upstreams.
 
-mod document;
+pub mod document;
 mod instructions;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -15,7 +15,8 @@
 use dotterellane_settings::document::ConfigurationDocument;
 use dotterellane_settings::keys::{CallerKey, OperatorKey, SECRET_BYTES};
 use dotterellane_standins::http_server::StandinServer;
-use dotterellane_standins::runner::{EngineOptions, RunnerOptions, StandinRunner};
+use dotterellane_standins::runner::engine::EngineOptions;
+use dotterellane_standins::runner::{RunnerOptions, StandinRunner};
 use dotterellane_standins::weight_store::WeightStore;
 use dotterellane_standins::{PlainService, platform_server};
 use dotterellane_units::{ConfigVersion, RequestId};
@@ -41,7 +42,7 @@
     /// Addresses and keys.
     pub outline: DemoOutline,
     daemons: Vec<DaemonHandle>,
-    _upstreams: StandinUpstreams,
+    upstreams: StandinUpstreams,
     _platform: StandinServer,
 }
 
@@ -84,10 +85,15 @@
     }
     accept_document(&daemons, keys.document(&upstreams)?).await?;
     let outline = keys.outline(&daemons, &upstreams.addresses());
-    Ok(Demo { outline, daemons, _upstreams: upstreams, _platform: platform })
+    Ok(Demo { outline, daemons, upstreams, _platform: platform })
 }
 
 impl Demo {
+    /// Returns how often the stand-in service ran a call with this body.
+    pub fn service_runs(&self, body: &str) -> u64 {
+        self.upstreams.service.runs(body)
+    }
+
     /// Finishes every request and stops.
     ///
     /// # Errors
@@ -110,7 +116,7 @@
         let mut runners = Vec::new();
         for (index, _domain) in RUNNER_DOMAINS.iter().enumerate() {
             let engine = EngineOptions {
-                memory: document::RUNNER_MEMORY,
+                capacity: document::RUNNER_MEMORY,
                 honours_fencing: document::honours_fencing(index),
                 ..EngineOptions::default()
             };
@@ -138,6 +144,7 @@
         },
         orders: Arc::new(|_runner, address| RunnerOrders::http(address)),
         limits: EntryLimits { shutdown_lag: SHUTDOWN_LAG, ..EntryLimits::default() },
+        tls: None,
     }
 }
 
