Measure whole daemons, with runners

Cause: slopes left out shares, dispatchers and keepers. Change: dotterellane-bench slopes starts whole daemons, and runners as a factor.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -1,19 +1,28 @@
 //! What control costs a daemon as one size grows at a time.
 //!
-//! The daemons are real ones on loopback sockets, in this process; the platform is kept in
-//! memory. Costs of a process of its own, such as its code and allocator, are not in the figures.
+//! The daemons are whole ones on loopback sockets, in this process; the platform is kept in
+//! memory, and the processor time and memory of stand-in runners count as the daemons'. Costs of a process of its own, such as its code and allocator, are not in the figures.
 
 use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use clap::{Args, ValueEnum};
-use dotterellane_fleet::{
-    AdministrationPorts, FleetNode, NodePlatform, NodeSettings, ProposedChange, TimerService,
-    boot_clock, node,
-};
+use dotterellane::daemon::{self, DaemonHandle, DaemonOptions};
+use dotterellane_admin::AdminOptions;
+use dotterellane_entry::EntryLimits;
+use dotterellane_fleet::{AdministrationPorts, NodePlatform, NodeSettings, ProposedChange};
 use dotterellane_platform::memory::MemoryPlatform;
-use dotterellane_settings::document::{ConfigurationDocument, ModelEntry, TeamEntry};
+use dotterellane_settings::document::{
+    ConfigurationDocument, ModelEntry, RunnerEntry, TeamEntry, UpstreamEntry, UpstreamRole,
+};
+use dotterellane_standins::http_server::StandinServer;
+use dotterellane_standins::runner::engine::EngineOptions;
+use dotterellane_standins::runner::{RunnerOptions, StandinRunner};
+use dotterellane_standins::weight_store::WeightStore;
 use dotterellane_units::{ByteSize, HostId, RequestId, TokenCount, TokenRate};
+use dotterellane_upstream::orders::RunnerOrders;
 use indicatif::ProgressBar;
 use miette::{IntoDiagnostic, WrapErr, miette};
 use procfs::process::Process;
@@ -29,6 +38,9 @@
 const POLL_PERIOD: Duration = Duration::from_millis(10);
 const SECRET_BYTES: usize = 32;
 const DOMAINS: usize = 5;
+/// Time in which shares and slots are placed after the first document.
+const SETTLING_TIME: Duration = Duration::from_secs(12);
+const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// Which size grows
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -39,6 +51,8 @@
     Hosts,
     /// Number of models in the document
     Models,
+    /// Number of runners in the document
+    Runners,
     /// Changes of configuration a minute
     Changes,
 }
@@ -56,6 +70,12 @@
     /// Daemons, where their number does not grow
     #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u16).range(1..=400))]
     pub hosts: u16,
+    /// Models, where their number does not grow
+    #[arg(long, default_value_t = 0)]
+    pub models: usize,
+    /// Runners, where their number does not grow
+    #[arg(long, default_value_t = 0)]
+    pub runners: usize,
     /// Seconds measured at each size
     #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=600))]
     pub seconds: u64,
@@ -69,6 +89,8 @@
     pub hosts: usize,
     /// Models in the document.
     pub models: usize,
+    /// Runners in the document.
+    pub runners: usize,
     /// Changes of configuration a minute.
     pub changes: usize,
     /// Control bytes that a daemon sends a second.
@@ -132,6 +154,7 @@
     let size = |sample: &SlopeSample| match factor {
         SlopeFactor::Hosts => sample.hosts as f64,
         SlopeFactor::Models => sample.models as f64,
+        SlopeFactor::Runners => sample.runners as f64,
         SlopeFactor::Changes => sample.changes as f64,
     };
     let line = |read: CostReading| {
@@ -145,6 +168,7 @@
 struct FleetShape {
     hosts: usize,
     models: usize,
+    runners: usize,
     changes: usize,
     window: Duration,
 }
@@ -153,13 +177,15 @@
     fn at(options: &SlopeOptions, size: usize) -> Self {
         let mut shape = Self {
             hosts: usize::from(options.hosts),
-            models: 0,
+            models: options.models,
+            runners: options.runners,
             changes: 0,
             window: Duration::from_secs(options.seconds),
         };
         match options.factor {
             SlopeFactor::Hosts => shape.hosts = size,
             SlopeFactor::Models => shape.models = size,
+            SlopeFactor::Runners => shape.runners = size,
             SlopeFactor::Changes => shape.changes = size,
         }
         shape
@@ -169,9 +195,8 @@
 /// Daemons of one measured fleet.
 struct MeasuredFleet {
     platform: MemoryPlatform,
-    _timers: TimerService,
-    nodes: Vec<FleetNode>,
-    registries: Vec<Registry>,
+    daemons: Vec<DaemonHandle>,
+    runners: Vec<StandinServer>,
 }
 
 /// Totals of the whole process and fleet at one moment.
@@ -195,6 +220,7 @@
     Ok(SlopeSample {
         hosts: shape.hosts,
         models: shape.models,
+        runners: shape.runners,
         changes: shape.changes,
         sent_bytes: (second.sent - first.sent) / seconds / hosts,
         received_bytes: (second.received - first.received) / seconds / hosts,
@@ -210,19 +236,21 @@
     async fn start(shape: &FleetShape) -> miette::Result<Self> {
         let mut fleet = Self {
             platform: MemoryPlatform::default(),
-            _timers: TimerService::default(),
-            nodes: Vec::new(),
-            registries: Vec::new(),
+            daemons: Vec::new(),
+            runners: start_runners(shape.runners).await?,
         };
         let secret: [u8; SECRET_BYTES] = rand::random();
         for index in 0..shape.hosts {
             fleet.add(index, &secret).await?;
         }
         let count = shape.hosts;
-        let complete = move |node: &FleetNode| node.members.borrow().serving().count() == count;
-        fleet.wait("members to see each other", |fleet| fleet.nodes.iter().all(complete)).await?;
-        if shape.models > 0 {
-            fleet.change(document_of(shape.models)?).await?;
+        let complete =
+            move |daemon: &DaemonHandle| daemon.members.borrow().serving().count() == count;
+        fleet.wait("members to see each other", |fleet| fleet.daemons.iter().all(complete)).await?;
+        if shape.models > 0 || shape.runners > 0 {
+            let document = document_of(shape.models, &fleet.runners)?;
+            fleet.change(document).await?;
+            tokio::time::sleep(SETTLING_TIME).await;
         }
         Ok(fleet)
     }
@@ -231,7 +259,7 @@
         let settings = NodeSettings {
             host: format!("host-{index}").parse::<HostId>().into_diagnostic()?,
             domain: format!("domain-{}", index % DOMAINS).parse().into_diagnostic()?,
-            peers: ([127, 0, 0, 1], 0).into(),
+            peers: LOOPBACK,
             secret: secret.to_vec(),
         };
         let platform = NodePlatform {
@@ -239,10 +267,16 @@
             objects: self.platform.objects(),
             hosts: self.platform.host_list(),
         };
-        let registry = Registry::new();
-        let started = node::start(settings, platform, boot_clock(), &self._timers, &registry);
-        self.nodes.push(started.await.into_diagnostic()?);
-        self.registries.push(registry);
+        let options = DaemonOptions {
+            entry: LOOPBACK,
+            admin: AdminOptions { listen: LOOPBACK, tls: None, first_operator: None },
+            node: settings,
+            platform,
+            orders: Arc::new(|_runner, address| RunnerOrders::http(address)),
+            limits: EntryLimits::default(),
+            tls: None,
+        };
+        self.daemons.push(daemon::start(options).await?);
         Ok(())
     }
 
@@ -256,7 +290,7 @@
             while due < end {
                 tokio::time::sleep_until(due).await;
                 due += gap;
-                let document = document_of(shape.models + 1)?;
+                let document = document_of(shape.models + 1, &self.runners)?;
                 longest = longest.max(Some(self.change(document).await?));
             }
         }
@@ -280,13 +314,16 @@
         };
         let accepted = administration.propose(change).await.into_diagnostic()?.version;
         let start = Instant::now();
-        let in_force = |node: &FleetNode| node.administration.progress(accepted).in_force;
-        self.wait("a change to be in force", |fleet| fleet.nodes.iter().all(in_force)).await?;
+        let in_force = |daemon: &DaemonHandle| daemon.administration.progress(accepted).in_force;
+        self.wait("a change to be in force", |fleet| fleet.daemons.iter().all(in_force)).await?;
         Ok(start.elapsed())
     }
 
     fn administration(&self) -> miette::Result<&AdministrationPorts> {
-        self.nodes.first().map(|node| &node.administration).ok_or_else(|| miette!("no daemon"))
+        self.daemons
+            .first()
+            .map(|daemon| &daemon.administration)
+            .ok_or_else(|| miette!("no daemon"))
     }
 
     async fn wait<C>(&self, what: &str, condition: C) -> miette::Result<()>
@@ -306,7 +343,8 @@
     fn read_costs(&self) -> miette::Result<CostReading> {
         let (reads, commits) = self.platform.counts();
         let sum = |direction: &str| -> f64 {
-            self.registries.iter().map(|registry| control_bytes(registry, direction)).sum()
+            let daemons = self.daemons.iter();
+            daemons.map(|daemon| control_bytes(&daemon.registry, direction)).sum()
         };
         Ok(CostReading {
             at: Instant::now(),
@@ -329,7 +367,7 @@
     labelled.map(|metric| metric.get_counter().get_value()).sum()
 }
 
-fn document_of(models: usize) -> miette::Result<ConfigurationDocument> {
+fn document_of(models: usize, runners: &[StandinServer]) -> miette::Result<ConfigurationDocument> {
     let mut document = ConfigurationDocument::default();
     for index in 0..models {
         let entry = ModelEntry {
@@ -345,9 +383,31 @@
         };
         document.models.insert(format!("model-{index}").parse().into_diagnostic()?, entry);
     }
+    for (index, server) in runners.iter().enumerate() {
+        let runner =
+            RunnerEntry { memory: ByteSize::gibibytes(80), accelerators: 8, honours_fencing: true };
+        let entry = UpstreamEntry {
+            address: server.address,
+            domain: format!("domain-{}", index % DOMAINS).parse().into_diagnostic()?,
+            role: UpstreamRole::Runner(runner),
+            leaving: false,
+        };
+        document.upstreams.insert(format!("runner-{index}").parse().into_diagnostic()?, entry);
+    }
     Ok(document)
 }
 
+async fn start_runners(count: usize) -> miette::Result<Vec<StandinServer>> {
+    let store = WeightStore::new();
+    let mut servers = Vec::new();
+    for _index in 0..count {
+        let runner = StandinRunner::new(RunnerOptions::default());
+        let runner = runner.with_engine(EngineOptions::default(), store.clone());
+        servers.push(runner.start().await.into_diagnostic()?);
+    }
+    Ok(servers)
+}
+
 fn processor_seconds() -> f64 {
     let reading = clock_gettime(ClockId::ProcessCPUTime);
     reading.tv_sec as f64 + reading.tv_nsec as f64 / 1e9
--- a/crates/dotterellane/src/daemon.rs
+++ b/crates/dotterellane/src/daemon.rs
@@ -17,7 +17,7 @@
 use prometheus::Registry;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use tokio_util::sync::CancellationToken;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::{crashes, overview};
 
@@ -39,7 +39,7 @@
     pub tls: Option<TlsSettings>,
 }
 
-/// A running daemon.
+/// A running daemon; dropped, it stops without leaving the fleet in good order.
 pub struct DaemonHandle {
     /// Address that callers reach it at.
     pub entry: SocketAddr,
@@ -49,11 +49,13 @@
     pub members: MemberFeed,
     /// The fleet as the entry sees it.
     pub ports: FleetPorts,
+    /// Metrics of the daemon.
+    pub registry: Registry,
     admin: AdminServer,
     node: FleetNode,
     placement: PlacementRuntime,
     timers: TimerService,
-    shutdown: CancellationToken,
+    shutdown: DropGuard,
     serving: JoinHandle<std::io::Result<()>>,
     _shares: RunningShares,
 }
@@ -70,7 +72,7 @@
     /// Fails if a server had failed.
     pub async fn stop(self) -> miette::Result<()> {
         // The health check fails from here on; callers are served until the balancer has moved on.
-        self.shutdown.cancel();
+        drop(self.shutdown);
         let served = self.serving.await.into_diagnostic()?;
         served.into_diagnostic().wrap_err("serving callers")?;
         self.placement.release_leases().await;
@@ -105,9 +107,13 @@
     let ports = placement.attach(ports);
     let administration = node.administration.clone();
     let overview = overview::reader(node.members.clone(), ports.clone());
-    let admin =
-        dotterellane_admin::serve(options.admin, administration.clone(), overview, registry)
-            .into_diagnostic()?;
+    let admin = dotterellane_admin::serve(
+        options.admin,
+        administration.clone(),
+        overview,
+        registry.clone(),
+    )
+    .into_diagnostic()?;
     let context = EntryContext::new(ports.clone(), platform.table, host);
     let mut context = context.with_limits(options.limits);
     context.crashes = crashes::share(&node)?;
@@ -121,11 +127,12 @@
         administration,
         members: node.members.clone(),
         ports,
+        registry,
         admin,
         node,
         placement,
         timers,
-        shutdown,
+        shutdown: shutdown.drop_guard(),
         serving: tokio::spawn(serving),
         _shares: shares,
     })
