--- a/crates/decisions/src/keep_alive.rs
+++ b/crates/decisions/src/keep_alive.rs
@@ -20,8 +20,6 @@
 pub struct KeepAlive {
     /// Time to stay loaded.
     pub hold: Duration,
-    /// Time since the last use at which to load it again, if no request came.
-    pub prewarm: Option<Duration>,
 }
 
 /// Gaps between the uses of one model, in buckets that widen geometrically.
@@ -70,7 +68,7 @@
                 best = (cost, end);
             }
         }
-        KeepAlive { hold: best.1, prewarm: None }
+        KeepAlive { hold: best.1 }
     }
 }
 
--- a/crates/fleet/src/keepers.rs
+++ b/crates/fleet/src/keepers.rs
@@ -237,7 +237,7 @@
         self.start_drains(now);
         self.drain(context, runner);
         self.process_wakes(context, runner);
-        self.report(context, runner, false);
+        self.report(context, runner);
         if self.keeper.holds() && !first {
             let actions = self.keeper.release();
             self.act(context, runner, actions);
@@ -302,7 +302,7 @@
             info!("keeper of {}: {}", runner, if held { "stepped down" } else { "holds" });
         }
         self.process_wakes(context, runner);
-        self.report(context, runner, false);
+        self.report(context, runner);
     }
 
     fn note_listing(&mut self, listing: &RunnerListing) {
@@ -363,7 +363,7 @@
         let (answer, actions) = self.keeper.wake(now, item, memory);
         self.act(context, runner, actions);
         if answer == WakeAnswer::Coming {
-            self.report(context, runner, false);
+            self.report(context, runner);
         }
     }
 
@@ -452,7 +452,7 @@
         for victim in choose_victims(now, missing - coming, &candidates).unwrap_or_default() {
             self.draining.insert(victim, now);
         }
-        self.report(context, runner, false);
+        self.report(context, runner);
     }
 
     fn candidate(
@@ -517,7 +517,7 @@
     }
 
     /// Tells dispatchers how their replicas fare.
-    fn report(&mut self, context: &DeskContext, runner: &UpstreamId, all: bool) {
+    fn report(&mut self, context: &DeskContext, runner: &UpstreamId) {
         if !self.keeper.holds() {
             self.reported.clear();
             return;
@@ -527,8 +527,8 @@
         for model in models {
             let report = self.replica_report(runner, &model);
             let known = self.reported.get(&model);
-            let fresh = known
-                .is_some_and(|(old, at)| *old == report && now.since(*at) < REPORT_PERIOD && !all);
+            let fresh =
+                known.is_some_and(|(old, at)| *old == report && now.since(*at) < REPORT_PERIOD);
             if fresh {
                 continue;
             }
