Count a refund from when its tokens can be spent again

Change: the machines tell which refunds they took and had room for; the meter counts those, at that moment. This is stricter: refunds that are lost or find no room are not counted any more.

--- a/crates/decisions/src/shares/bucket.rs
+++ b/crates/decisions/src/shares/bucket.rs
@@ -91,8 +91,10 @@
         self.level = self.level.minus(tokens.into());
     }
 
-    /// Adds `tokens`, capped at `burst`.
-    pub fn add(&mut self, tokens: TokenCount, burst: TokenCount) {
-        self.level = self.level.plus(tokens.into()).min(burst.into());
+    /// Adds `tokens`, capped at `burst`; returns how many whole ones there was room for.
+    pub fn add(&mut self, tokens: TokenCount, burst: TokenCount) -> TokenCount {
+        let before = self.level;
+        self.level = before.plus(tokens.into()).min(burst.into());
+        self.level.minus(before).whole()
     }
 }
--- a/crates/decisions/src/shares/ledger.rs
+++ b/crates/decisions/src/shares/ledger.rs
@@ -75,6 +75,8 @@
     pub granted: u64,
     /// Recalls sent.
     pub recalls: u64,
+    /// Refunded tokens that there was room for.
+    pub refunded: u64,
 }
 
 impl LedgerCounters {
@@ -85,6 +87,7 @@
             pledges: self.pledges + other.pledges,
             granted: self.granted + other.granted,
             recalls: self.recalls + other.recalls,
+            refunded: self.refunded + other.refunded,
         }
     }
 }
@@ -328,7 +331,10 @@
         account.spent = report.spent;
         account.returned = report.returned;
         account.refunded = report.refunded;
-        self.add_level(returned + refunded, now);
+        self.add_level(returned, now);
+        let before = self.level;
+        self.add_level(refunded, now);
+        self.counters.refunded += self.level.minus(before).whole().0;
         returned
     }
 
--- a/crates/decisions/src/shares/machine.rs
+++ b/crates/decisions/src/shares/machine.rs
@@ -97,6 +97,8 @@
     member: MemberPledge,
     credit: EntryCredit,
     waiting: WaitingQueue,
+    /// Refunds that this daemon's own slots took.
+    refunded: TokenCount,
     /// When the newest report was sent, and the newest charge that it includes.
     reported: Option<(ClockInstant, u64)>,
     urgent: bool,
@@ -159,6 +161,7 @@
             member: MemberPledge::new(self.timings, now),
             credit: EntryCredit::new(self.timings, now),
             waiting: WaitingQueue::default(),
+            refunded: TokenCount(0),
             reported: None,
             urgent: false,
             ledger: None,
@@ -270,8 +273,9 @@
         let mut actions = Vec::new();
         if let Some(state) = self.teams.get_mut(team) {
             state.member.settle(now);
-            if !state.member.refund(tokens) {
-                state.credit.refund(tokens);
+            match state.member.refund(tokens) {
+                Some(taken) => state.refunded += taken,
+                None => state.credit.refund(tokens),
             }
         }
         self.advance(team, now, &mut actions);
@@ -307,6 +311,13 @@
         ledgers.map(TeamLedger::counters).fold(LedgerCounters::default(), LedgerCounters::plus)
     }
 
+    /// Returns the refunded tokens of a team that this daemon has made spendable again.
+    pub fn refunds_taken(&self, team: &TeamId) -> TokenCount {
+        let Some(state) = self.teams.get(team) else { return TokenCount(0) };
+        let pooled = state.ledger.as_ref().map_or(0, |ledger| ledger.counters().refunded);
+        state.refunded + TokenCount(pooled)
+    }
+
     /// Returns what this daemon holds of a team's share now, if it is as `fresh` as told.
     pub fn holdings(&self, team: &TeamId, fresh: bool, now: ClockInstant) -> ShareHoldings {
         let Some(state) = self.teams.get(team) else { return ShareHoldings::default() };
@@ -418,7 +429,7 @@
         state.credit.advance_demand(now);
         if state.member.ledger().is_none() {
             let refund = state.credit.take_refund();
-            state.member.refund(refund);
+            state.refunded += state.member.refund(refund).unwrap_or_default();
         }
         state.serve(team, now, actions);
         state.refuse_overdue(&timings, now, actions);
--- a/crates/decisions/src/shares/pledges.rs
+++ b/crates/decisions/src/shares/pledges.rs
@@ -55,7 +55,9 @@
     /// Fills the bucket of slots that nobody has used before.
     pub fn fill(&mut self) {
         match &mut self.state {
-            PledgeState::Alone { bucket, .. } => bucket.add(self.part.burst, self.part.burst),
+            PledgeState::Alone { bucket, .. } => {
+                bucket.add(self.part.burst, self.part.burst);
+            }
             PledgeState::Bound { .. } => self.unpledged = self.part.burst,
         }
     }
@@ -97,14 +99,12 @@
         }
     }
 
-    /// Adds refunded tokens; tells whether they could be taken here.
-    pub fn refund(&mut self, tokens: TokenCount) -> bool {
+    /// Adds refunded tokens and returns how many there was room for; `None` while the slots are
+    /// pledged, since the ledger must take them.
+    pub fn refund(&mut self, tokens: TokenCount) -> Option<TokenCount> {
         match &mut self.state {
-            PledgeState::Alone { bucket, .. } => {
-                bucket.add(tokens, self.part.burst);
-                true
-            }
-            PledgeState::Bound { .. } => false,
+            PledgeState::Alone { bucket, .. } => Some(bucket.add(tokens, self.part.burst)),
+            PledgeState::Bound { .. } => None,
         }
     }
 
--- a/crates/decisions/tests/share_orders.rs
+++ b/crates/decisions/tests/share_orders.rs
@@ -109,6 +109,14 @@
     }
 }
 
+/// An order that failed while a refund was counted from when the entry gave it back.
+#[gtest]
+fn shares_order_ledger_pauses_with_refunds_open() {
+    let order =
+        [Fault::Wait(20), Fault::Pause(0), Fault::Wait(1_363), Fault::ResumeAll, Fault::Wait(20)];
+    expect_that!(run_order(254_915_461_271_411_788, &order).is_ok(), eq(true));
+}
+
 fn check_bound(fleet: &FleetModel) -> std::result::Result<(), TestCaseError> {
     prop_assert_eq!(fleet.violation(), None);
     prop_assert_eq!(fleet.overshoot(), TokenCount(0));
