--- a/crates/decisions/src/shares/ledger.rs
+++ b/crates/decisions/src/shares/ledger.rs
@@ -59,13 +59,6 @@
     }
 }
 
-/// Credit of an earlier session that its entry may still spend.
-#[derive(Clone, Copy, Debug)]
-struct LingeringCredit {
-    tokens: TokenCount,
-    expires: ClockInstant,
-}
-
 /// Counters of one ledger, for metrics and tests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LedgerCounters {
@@ -101,7 +94,6 @@
     updated: ClockInstant,
     pledges: BTreeMap<MemberSeat, CountedPledge>,
     accounts: BTreeMap<MemberSeat, CreditAccount>,
-    lingering: Vec<LingeringCredit>,
     claims: VecDeque<(MemberSeat, TokenCount)>,
     requested: Option<ClockInstant>,
     released: BTreeMap<HostId, ClockInstant>,
@@ -123,7 +115,6 @@
             updated: now,
             pledges: BTreeMap::new(),
             accounts: BTreeMap::new(),
-            lingering: Vec::new(),
             claims: VecDeque::new(),
             requested: None,
             released: BTreeMap::new(),
@@ -252,7 +243,6 @@
         if self.pledges.is_empty() {
             self.gathering_since = None;
         }
-        self.lingering.retain(|credit| credit.expires > now);
         self.accounts.retain(|_, account| account.expires + ACCOUNT_MEMORY > now);
         for account in self.accounts.values_mut().filter(|account| account.expires <= now) {
             // What the entry did not report in time may have been spent.
@@ -287,9 +277,7 @@
 
     /// Returns all credit that entries may still spend.
     fn unspent(&self) -> TokenCount {
-        let accounts = self.accounts.values().map(CreditAccount::unspent);
-        let lingering = self.lingering.iter().map(|credit| credit.tokens);
-        accounts.chain(lingering).sum()
+        self.accounts.values().map(CreditAccount::unspent).sum()
     }
 
     fn open_session(
@@ -310,9 +298,8 @@
         if report.session == account.session {
             return account.expires > now && report.sent > account.newest;
         }
-        let lingering = LingeringCredit { tokens: account.unspent(), expires: account.expires };
+        // The entry has dropped what it had left of the earlier session.
         *account = opened;
-        self.lingering.push(lingering);
         self.claims.retain(|(claimant, _)| claimant != entry);
         true
     }
@@ -380,11 +367,7 @@
             .accounts
             .iter()
             .filter(|(other, account)| *other != entry && account.expires > first_end);
-        let lingering = self.lingering.iter().filter(|credit| credit.expires > first_end);
-        let held: TokenCount = others
-            .map(|(_, account)| account.unspent())
-            .chain(lingering.map(|credit| credit.tokens))
-            .sum();
+        let held: TokenCount = others.map(|(_, account)| account.unspent()).sum();
         self.burst_after(horizon) - held
     }
 
--- a/crates/decisions/tests/share_slots.rs
+++ b/crates/decisions/tests/share_slots.rs
@@ -4,10 +4,11 @@
 
 use dotterellane_decisions::fairness::DeficitQueue;
 use dotterellane_decisions::shares::ledger::TeamLedger;
+use dotterellane_decisions::shares::pledges::{LedgerAddress, MemberPledge};
 use dotterellane_decisions::shares::slots::{OwnedSlots, SLOT_COUNT, SlotMap};
 use dotterellane_decisions::shares::{ShareMachine, ShareTimings};
 use dotterellane_protocol::MemberSeat;
-use dotterellane_protocol::shares::SharePledge;
+use dotterellane_protocol::shares::{PledgeRelease, PledgeRequest, SharePledge};
 use dotterellane_settings::document::TeamEntry;
 use dotterellane_units::{ClockInstant, HostIncarnation, TeamId, TokenCount, TokenRate};
 use googletest::prelude::*;
@@ -110,6 +111,33 @@
     expect_that!(ledger.pooled(at(1_003)).0, eq(TokenCount(100)));
 }
 
+#[gtest]
+fn ledger_released_pledge_comes_again() {
+    let mut ledger = TeamLedger::new(timings(), 1, at(0));
+    let hosts = [member(0).host];
+    let _requests = ledger.tick(Some(&hosts), at(0));
+    let (rate, burst) = (TokenRate::per_second(10), TokenCount(1_000));
+    let pledge = SharePledge { sent: at(0), rate, burst, level: TokenCount(100) };
+    ledger.count_pledge(member(0), &pledge, at(1));
+    expect_that!(ledger.tick(None, at(2)).len(), eq(1));
+    ledger.count_pledge(member(0), &pledge, at(3));
+    expect_that!(ledger.pooled(at(4)), eq((TokenCount(0), TokenRate::per_second(0))));
+}
+
+#[gtest]
+fn member_pledge_older_release() {
+    let ledger = LedgerAddress { host: member(1).host, epoch: 1 };
+    let mut pledge = MemberPledge::new(timings(), at(0));
+    let _first = pledge.answer(&ledger, PledgeRequest { sent: at(0) }, at(1));
+    let _second = pledge.answer(&ledger, PledgeRequest { sent: at(1_000) }, at(1_001));
+    // The ledger released the first pledge before it heard of the second, which it may count.
+    let level = TokenCount(0);
+    pledge.release(&ledger, PledgeRelease { sent: at(0), level }, at(1_002));
+    expect_that!(pledge.ledger(), some(eq(&ledger)));
+    pledge.release(&ledger, PledgeRelease { sent: at(1_000), level }, at(1_003));
+    expect_that!(pledge.ledger(), none());
+}
+
 #[gtest]
 fn machine_slots_unread() {
     let mut machine = ShareMachine::new(member(0), timings());
