--- a/crates/decisions/src/shares/ledger.rs
+++ b/crates/decisions/src/shares/ledger.rs
@@ -59,13 +59,6 @@
     }
 }
 
-/// Credit of an earlier session that its entry may still spend.
-#[derive(Clone, Copy, Debug)]
-struct LingeringCredit {
-    tokens: TokenCount,
-    expires: ClockInstant,
-}
-
 /// Counters of one ledger, for metrics and tests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LedgerCounters {
@@ -75,6 +68,8 @@
     pub granted: u64,
     /// Recalls sent.
     pub recalls: u64,
+    /// Refunded tokens that there was room for.
+    pub refunded: u64,
 }
 
 impl LedgerCounters {
@@ -85,6 +80,7 @@
             pledges: self.pledges + other.pledges,
             granted: self.granted + other.granted,
             recalls: self.recalls + other.recalls,
+            refunded: self.refunded + other.refunded,
         }
     }
 }
@@ -98,7 +94,6 @@
     updated: ClockInstant,
     pledges: BTreeMap<MemberSeat, CountedPledge>,
     accounts: BTreeMap<MemberSeat, CreditAccount>,
-    lingering: Vec<LingeringCredit>,
     claims: VecDeque<(MemberSeat, TokenCount)>,
     requested: Option<ClockInstant>,
     released: BTreeMap<HostId, ClockInstant>,
@@ -120,7 +115,6 @@
             updated: now,
             pledges: BTreeMap::new(),
             accounts: BTreeMap::new(),
-            lingering: Vec::new(),
             claims: VecDeque::new(),
             requested: None,
             released: BTreeMap::new(),
@@ -249,7 +243,6 @@
         if self.pledges.is_empty() {
             self.gathering_since = None;
         }
-        self.lingering.retain(|credit| credit.expires > now);
         self.accounts.retain(|_, account| account.expires + ACCOUNT_MEMORY > now);
         for account in self.accounts.values_mut().filter(|account| account.expires <= now) {
             // What the entry did not report in time may have been spent.
@@ -284,9 +277,7 @@
 
     /// Returns all credit that entries may still spend.
     fn unspent(&self) -> TokenCount {
-        let accounts = self.accounts.values().map(CreditAccount::unspent);
-        let lingering = self.lingering.iter().map(|credit| credit.tokens);
-        accounts.chain(lingering).sum()
+        self.accounts.values().map(CreditAccount::unspent).sum()
     }
 
     fn open_session(
@@ -307,9 +298,8 @@
         if report.session == account.session {
             return account.expires > now && report.sent > account.newest;
         }
-        let lingering = LingeringCredit { tokens: account.unspent(), expires: account.expires };
+        // The entry has dropped what it had left of the earlier session.
         *account = opened;
-        self.lingering.push(lingering);
         self.claims.retain(|(claimant, _)| claimant != entry);
         true
     }
@@ -328,7 +318,10 @@
         account.spent = report.spent;
         account.returned = report.returned;
         account.refunded = report.refunded;
-        self.add_level(returned + refunded, now);
+        self.add_level(returned, now);
+        let before = self.level;
+        self.add_level(refunded, now);
+        self.counters.refunded += self.level.minus(before).whole().0;
         returned
     }
 
@@ -374,11 +367,7 @@
             .accounts
             .iter()
             .filter(|(other, account)| *other != entry && account.expires > first_end);
-        let lingering = self.lingering.iter().filter(|credit| credit.expires > first_end);
-        let held: TokenCount = others
-            .map(|(_, account)| account.unspent())
-            .chain(lingering.map(|credit| credit.tokens))
-            .sum();
+        let held: TokenCount = others.map(|(_, account)| account.unspent()).sum();
         self.burst_after(horizon) - held
     }
 
