Free what a request needed once its answer has begun

A connection keeps the future of its request for its whole life, at its largest size. The future is now boxed, so that an open stream keeps only its relay state.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -117,7 +117,9 @@
     let builder = connection_builder(&context);
     let service = service_fn(move |request| {
         let context = context.clone();
-        async move { Ok::<_, Infallible>(answer_request(context, request).await) }
+        // The connection keeps this future for its life; what it needs until the answer does not stay.
+        let answering = Box::pin(answer_request(context, request));
+        async move { Ok::<_, Infallible>(answering.await) }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
