--- a/crates/decisions/src/shares/admissions.rs
+++ b/crates/decisions/src/shares/admissions.rs
@@ -162,7 +162,7 @@
     }
 
     /// Counts a refusal.
-    pub fn note_refused(&mut self, in_rate: bool, _tokens: TokenCount, waited: Duration) {
+    pub fn note_refused(&mut self, in_rate: bool, waited: Duration) {
         self.refused_in_rate += u64::from(in_rate);
         self.refused_over_rate += u64::from(!in_rate);
         self.longest_refusal = self.longest_refusal.max(waited);
--- a/crates/decisions/src/shares/fleet_model.rs
+++ b/crates/decisions/src/shares/fleet_model.rs
@@ -515,7 +515,7 @@
                         && let Some(tally) = self.tallies.get_mut(&sent.team)
                     {
                         let waited = Duration::from_nanos(self.now - sent.sent);
-                        tally.note_refused(sent.in_rate, sent.tokens, waited);
+                        tally.note_refused(sent.in_rate, waited);
                     }
                 }
             }
