Check freshness again right before each send

Cause: freshness was checked at the head and after the body, but a request may wait long for tokens or a place; a host cut off meanwhile could send for a withdrawn key. A service call also chose its instances before that wait. Change: each attempt checks freshness after it got its place, and a service call checks that its instance still takes calls. Measured: host_stale_while_request_waits and host_stale_while_call_waits fail without the checks and pass with them.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use rand::RngExt;
 
-use crate::admission::{PermitTarget, deadline_exceeded, take_permit};
+use crate::admission::{PermitTarget, check_freshness, deadline_exceeded, take_permit};
 use crate::completion::CompletionCall;
 use crate::context::{EntryContext, SharedContext};
 use crate::crashes::{
@@ -73,6 +73,8 @@
 ) -> Result<OpenCall, EntryRefusal> {
     loop {
         let (target, permit, flight) = take_place(context, call, log).await?;
+        // The wait for the place may have outlasted what this host knows.
+        check_freshness(context).map_err(|refusal| refusal.with_reached(log.reached.get()))?;
         log.count += 1;
         let request = build_call(context, call, headers, &target, resume_from);
         let reached_before = log.reached.get();
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -279,6 +279,9 @@
     address: SocketAddr,
     last: bool,
 ) -> InstanceOutcome {
+    if let Err(refusal) = check_instance(context, call, address) {
+        return InstanceOutcome::NotRun(refusal);
+    }
     let time_left = context.time_left(call.deadline);
     let share = if last { time_left } else { time_left / 2 };
     let request = CallRequest {
@@ -307,6 +310,20 @@
     }
 }
 
+/// Refuses once this host is stale or the instance takes no new calls; the call may have waited.
+fn check_instance(
+    context: &EntryContext,
+    call: &ServiceCall,
+    address: SocketAddr,
+) -> Result<(), EntryRefusal> {
+    check_freshness(context)?;
+    let snapshot = context.ports.configuration.current();
+    if instances(&call.service, &snapshot.document).contains(&address) {
+        return Ok(());
+    }
+    Err(not_reached(call))
+}
+
 async fn read_whole(context: &EntryContext, mut answer: OpenAnswer) -> Option<ServiceAnswer> {
     let mut buffer = BoundedBuffer::new(context.limits.answer);
     loop {
--- a/crates/entry/tests/bounds.rs
+++ b/crates/entry/tests/bounds.rs
@@ -42,6 +42,21 @@
     expect_that!(runner.seen().len(), eq(0));
 }
 
+#[gtest]
+#[tokio::test]
+async fn host_stale_while_request_waits() {
+    let runner = FaultyRunner::start().await.expect("a runner");
+    let entry = EntryEnvironment::start(&[runner.address()]).await;
+    entry.fleet.lock().expect("fleet").stale_with_permit = true;
+    let refused = entry.chat(false, 2).await;
+    expect_that!(refused.error_code(), eq("host_not_fresh"));
+    expect_that!(refused.says_not_run(), eq(true));
+    expect_that!(runner.seen().len(), eq(0));
+    let fleet = entry.fleet.lock().expect("fleet");
+    expect_that!(fleet.permits_out, eq(0));
+    expect_that!(fleet.tokens_used, eq(0));
+}
+
 #[gtest]
 #[tokio::test]
 async fn queue_never_moves() {
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -37,6 +37,19 @@
     expect_that!(entry.fleet.lock().expect("fleet").tokens_used, eq(5));
 }
 
+#[gtest]
+#[tokio::test]
+async fn host_stale_while_call_waits() {
+    let (entry, services) = start(CallerScope::AllTeams, 1).await;
+    entry.fleet.lock().expect("fleet").stale_with_charge = true;
+    let call = keyed_request(Method::POST, "/services/timetable/", NORTH_KEY, "x");
+    let refused = entry.send(call).await;
+    expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(refused.says_not_run(), eq(true));
+    expect_that!(services[0].seen().len(), eq(0));
+    expect_that!(entry.fleet.lock().expect("fleet").tokens_used, eq(0));
+}
+
 #[gtest]
 #[tokio::test]
 async fn route_open_to_all() {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -45,6 +45,10 @@
     pub charge_refusal: Option<ChargeRefusal>,
     /// Whether permits never come.
     pub permits_stuck: bool,
+    /// Whether the daemon turns stale when a charge is made.
+    pub stale_with_charge: bool,
+    /// Whether the daemon turns stale when a permit is given.
+    pub stale_with_permit: bool,
     /// Outcomes of the permits given back.
     pub released: Vec<(UpstreamId, CallOutcome)>,
     /// Permits given out and not yet back.
@@ -287,6 +291,8 @@
             freshness: FreshnessState::Fresh,
             charge_refusal: None,
             permits_stuck: false,
+            stale_with_charge: false,
+            stale_with_permit: false,
             released: Vec::new(),
             permits_out: 0,
             tokens_used: 0,
@@ -348,6 +354,9 @@
                     team: request.team,
                     tokens: request.tokens,
                 };
+                if fleet.stale_with_charge {
+                    fleet.freshness = FreshnessState::Stale;
+                }
                 if refusal.is_none() {
                     fleet.tokens_used += i64::try_from(request.tokens.0).expect("few tokens");
                 }
@@ -371,6 +380,9 @@
                     let Some((runner, address)) = found.cloned() else {
                         return Err(PermitRefusal::NoRunner { model: request.model });
                     };
+                    if fleet.stale_with_permit {
+                        fleet.freshness = FreshnessState::Stale;
+                    }
                     fleet.permits_out += 1;
                     Ok(DispatchPermit {
                         number: 1,
