Assign roles and place models on change, not on every tick

Cause: each daemon worked out the keeper of every runner ten times a second, a hash a member each; compared the whole document as often; and read all slot rows every two seconds though nothing had changed. Change: holders of roles are kept until the members change; the document is followed by reference; slots are looked at again on a change, while they are not as wanted, or after a minute. A leaving runner's places take no new permits, without the table.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -54,6 +54,8 @@
     Coming(ClockInstant),
     /// Nothing is loaded; a wake is expected to take this long.
     Asleep(Duration),
+    /// The runner is leaving: permits that are out end there, new ones go elsewhere.
+    Leaving,
 }
 
 /// What a dispatcher wants done.
@@ -383,7 +385,8 @@
         excluded: &[UpstreamId],
     ) -> Option<UpstreamId> {
         let usable = |place: &&(&UpstreamId, &RunnerPlace)| {
-            !excluded.contains(place.0) && place.1.ejection.allows(now)
+            let takes_requests = place.1.state != PlaceState::Leaving;
+            takes_requests && !excluded.contains(place.0) && place.1.ejection.allows(now)
         };
         let places: Vec<(&UpstreamId, &RunnerPlace)> = self.places.iter().collect();
         let ready = places.iter().filter(usable).filter(|(_, p)| p.state == PlaceState::Ready);
@@ -452,11 +455,13 @@
 }
 
 impl RunnerPlace {
-    fn expected_at(&self, now: ClockInstant) -> ClockInstant {
+    /// Returns when a replica is expected here, `None` if none will take new requests.
+    fn expected_at(&self, now: ClockInstant) -> Option<ClockInstant> {
         match &self.state {
-            PlaceState::Ready => now.max(self.ejection.returns_at()),
-            PlaceState::Coming(at) => now.max(*at),
-            PlaceState::Asleep(load_time) => now + *load_time,
+            PlaceState::Ready => Some(now.max(self.ejection.returns_at())),
+            PlaceState::Coming(at) => Some(now.max(*at)),
+            PlaceState::Asleep(load_time) => Some(now + *load_time),
+            PlaceState::Leaving => None,
         }
     }
 
@@ -493,7 +498,7 @@
     ask: &PermitAsk,
 ) -> Option<ClockInstant> {
     let usable = places.iter().filter(|(runner, _)| !ask.excluded.contains(runner));
-    usable.map(|(_, place)| place.expected_at(now)).min()
+    usable.filter_map(|(_, place)| place.expected_at(now)).min()
 }
 
 fn retry_after(now: ClockInstant, ready: Option<ClockInstant>) -> Duration {
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -120,6 +120,30 @@
     expect_that!(denials[0].1, eq(PermitDenial::QueueFull));
 }
 
+#[gtest]
+fn ask_runner_leaving_goes_elsewhere() {
+    let mut dispatcher = ready_dispatcher(2, 4);
+    let first = dispatcher.ask(START, entry(), long_ask(1, "a"));
+    let leaving = grants(&first)[0].1.clone();
+    dispatcher.on_place(START, &leaving, PlaceState::Leaving, Vec::new(), 1);
+    for request in 2..6 {
+        let granted = grants(&dispatcher.ask(START, entry(), long_ask(request, "a")));
+        expect_that!(granted.len(), eq(1));
+        expect_that!(granted[0].1, not(eq(&leaving)));
+    }
+    // The permit that is out still counts there, so its replica is not taken for idle.
+    expect_that!(dispatcher.permits_on(&leaving), eq(1));
+}
+
+#[gtest]
+fn ask_only_runner_leaving() {
+    let mut dispatcher = ready_dispatcher(1, 4);
+    dispatcher.on_place(START, &runner(0), PlaceState::Leaving, Vec::new(), 0);
+    let actions = dispatcher.ask(START, entry(), long_ask(1, "a"));
+    expect_that!(wakes(&actions), eq(0));
+    expect_that!(refusals(&actions)[0].1, eq(PermitDenial::NoRunner));
+}
+
 #[gtest]
 fn on_place_lost_refused_at_once() {
     let mut dispatcher = ready_dispatcher(1, 1);
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -96,7 +96,7 @@
         answer: oneshot::Sender<PermitAnswer>,
     ) {
         let now = context.now();
-        if !context.document.models.contains_key(&request.model) {
+        if !context.document().models.contains_key(&request.model) {
             let _ = answer.send(Err(PermitRefusal::NoRunner { model: request.model }));
             return;
         }
@@ -198,10 +198,12 @@
         if context.dispatcher_of(&report.model).as_ref() != Some(&context.host) {
             return;
         }
-        let Some(entry) = context.document.models.get(&report.model) else { return };
+        let Some(entry) = context.document().models.get(&report.model) else { return };
         let memory = entry.memory + entry.kv_reserve;
+        let upstream = context.document().upstreams.get(&report.runner);
+        let leaving = upstream.is_none_or(|upstream| upstream.leaving);
         let Some(seat) = self.seat(context, &report.model) else { return };
-        let state = place_state(now, report, memory);
+        let state = if leaving { PlaceState::Leaving } else { place_state(now, report, memory) };
         let place = seat.reports.entry(report.runner.clone()).or_insert(ReportedPlace {
             keeper_told: None,
             heard_at: now,
@@ -339,7 +341,7 @@
         if self.granted_by.contains_key(&(request, number)) {
             return;
         }
-        let upstream = context.document.upstreams.get(runner);
+        let upstream = context.document().upstreams.get(runner);
         let Some(waiting) = self.waiting.remove(&request) else {
             // Nobody waits any more; the dispatcher learns of it by the withdrawal.
             return;
@@ -358,7 +360,7 @@
     }
 
     fn seat(&mut self, context: &DeskContext, model: &ModelId) -> Option<&mut ModelSeat> {
-        let entry = context.document.models.get(model)?;
+        let entry = context.document().models.get(model)?;
         let limits = DispatchLimits {
             concurrency: entry.concurrency,
             queue: QUEUE_PER_PLACE * entry.concurrency as usize * entry.max_slots as usize,
@@ -384,7 +386,7 @@
     /// Tells the keepers of a model's replicas how they are used.
     fn tell_keepers(&mut self, context: &DeskContext, model: &ModelId) {
         let now = context.now();
-        let Some(entry) = context.document.models.get(model) else { return };
+        let Some(entry) = context.document().models.get(model) else { return };
         let Some(seat) = self.seats.get_mut(model) else { return };
         let memory = entry.memory + entry.kv_reserve;
         for (runner, place) in &mut seat.reports {
--- a/crates/fleet/src/keepers.rs
+++ b/crates/fleet/src/keepers.rs
@@ -96,7 +96,7 @@
 
     /// Follows the runners of the document.
     pub(crate) fn follow(&mut self, context: &DeskContext) {
-        for (runner, upstream) in &context.document.upstreams {
+        for (runner, upstream) in &context.document().upstreams {
             let UpstreamRole::Runner(entry) = &upstream.role else { continue };
             if self.seats.contains_key(runner) {
                 continue;
@@ -110,7 +110,7 @@
             let orders = (context.orders)(runner, upstream.address);
             self.seats.insert(runner.clone(), KeeperSeat::new(keeper, orders));
         }
-        self.seats.retain(|runner, _| context.document.upstreams.contains_key(runner));
+        self.seats.retain(|runner, _| context.document().upstreams.contains_key(runner));
     }
 
     pub(crate) fn on_tick(&mut self, context: &DeskContext) {
@@ -728,18 +728,18 @@
 fn needed_memory(context: &DeskContext, item: &HeldItem) -> Option<ByteSize> {
     match &item.adapter {
         None => {
-            let model = context.document.models.get(&item.model)?;
+            let model = context.document().models.get(&item.model)?;
             Some(model.memory + model.kv_reserve)
         }
-        Some(adapter) => Some(context.document.adapters.get(adapter)?.memory),
+        Some(adapter) => Some(context.document().adapters.get(adapter)?.memory),
     }
 }
 
 fn load_version(context: &DeskContext, action: &KeeperAction) -> Option<VersionLabel> {
     let KeeperAction::Load { item, .. } = action else { return None };
     match &item.adapter {
-        None => Some(context.document.models.get(&item.model)?.version.clone()),
-        Some(adapter) => Some(context.document.adapters.get(adapter)?.version.clone()),
+        None => Some(context.document().models.get(&item.model)?.version.clone()),
+        Some(adapter) => Some(context.document().adapters.get(adapter)?.version.clone()),
     }
 }
 
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -1,9 +1,9 @@
 //! Runs dispatchers and keepers: one task owns their state, everything else reaches it by events.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use dotterellane_decisions::placement::{PlacementRow, RunnerOffer, SlotState, decide_slots};
@@ -26,8 +26,8 @@
 use crate::dispatch::{DispatchDesk, PermitAnswer};
 use crate::keepers::{KeeperDesk, KeeperNews};
 use crate::{
-    CallOutcome, ConfigurationFeed, DispatchPermit, FleetPorts, MemberFeed, MemberView,
-    PeerDelivery, PeerInbox, PeerSender, PermitRefusal, PermitRequest, TimerService,
+    CallOutcome, ConfigurationFeed, ConfigurationSnapshot, DispatchPermit, FleetPorts, MemberFeed,
+    MemberView, PeerDelivery, PeerInbox, PeerSender, PermitRefusal, PermitRequest, TimerService,
     TimerSubscription,
 };
 
@@ -37,6 +37,8 @@
 const TABLE_PERIOD: Duration = Duration::from_secs(1);
 /// Hosts, in their order, that know a runner's lease and can take it over.
 const KEEPERS_IN_LINE: usize = 3;
+/// Least time between two looks at slots once all are as wanted and nothing they follow changes.
+const PLACING_REST: Duration = Duration::from_secs(60);
 /// Least time between two looks at whether a model's slots are as wanted.
 const PLACING_PERIOD: Duration = Duration::from_secs(2);
 
@@ -86,7 +88,10 @@
     Release(DispatchPermit, CallOutcome),
     Keeper(UpstreamId, KeeperNews),
     Rows(ClockInstant, Result<Vec<TableRow>, TableError>),
-    Placed,
+    /// Slots were looked at; `settled` if all are as wanted.
+    Placed {
+        settled: bool,
+    },
     ReleaseLeases(oneshot::Sender<()>),
 }
 
@@ -106,8 +111,10 @@
     pub(crate) orders: OrdersFactory,
     pub(crate) events: EventSender,
     pub(crate) members: Arc<MemberView>,
-    pub(crate) document: Arc<ConfigurationDocument>,
+    pub(crate) configuration: Arc<ConfigurationSnapshot>,
     peers: PeerSender,
+    /// Holders of roles among the present members, by role and object.
+    holders: Mutex<HashMap<(&'static str, String), Option<HostId>>>,
 }
 
 impl DeskContext {
@@ -128,9 +135,27 @@
         self.send(host, PeerMessage::Placement(message));
     }
 
-    pub(crate) fn holder(&self, role: &str, object: &str) -> Option<HostId> {
-        let serving = self.members.serving().map(|member| &member.host);
-        role_holder(role, object, serving).cloned()
+    pub(crate) fn holder(&self, role: &'static str, object: &str) -> Option<HostId> {
+        let mut holders = self.holders.lock().unwrap_or_else(PoisonError::into_inner);
+        let held = holders.entry((role, object.to_owned())).or_insert_with(|| {
+            let serving = self.members.serving().map(|member| &member.host);
+            role_holder(role, object, serving).cloned()
+        });
+        held.clone()
+    }
+
+    /// Takes a new member view; tells whether it differs from the one before.
+    fn follow_members(&mut self, members: Arc<MemberView>) -> bool {
+        if self.members == members {
+            return false;
+        }
+        self.members = members;
+        self.holders.get_mut().unwrap_or_else(PoisonError::into_inner).clear();
+        true
+    }
+
+    pub(crate) fn document(&self) -> &ConfigurationDocument {
+        &self.configuration.document
     }
 
     pub(crate) fn line(&self, role: &str, object: &str) -> Vec<HostId> {
@@ -175,8 +200,9 @@
             orders: parts.orders,
             events: events.clone(),
             members: Arc::default(),
-            document: Arc::default(),
+            configuration: Arc::default(),
             peers: parts.peers,
+            holders: Mutex::default(),
         };
         let task = RuntimeTask {
             context,
@@ -188,6 +214,9 @@
             last_read: None,
             placing: false,
             last_placed: ClockInstant(0),
+            placing_rest: Duration::ZERO,
+            kept: Vec::new(),
+            followed: false,
         };
         tokio::spawn(stopped.clone().run_until_cancelled_owned(task.run(inbox)));
         Self { events, stopped, _ticks: ticks }
@@ -278,6 +307,11 @@
     last_read: Option<ClockInstant>,
     placing: bool,
     last_placed: ClockInstant,
+    /// Least time until the next look at slots, while neither members nor document change.
+    placing_rest: Duration,
+    /// Runners that this host may have to keep.
+    kept: Vec<UpstreamId>,
+    followed: bool,
 }
 
 impl RuntimeTask {
@@ -302,8 +336,9 @@
             }
             RuntimeEvent::Keeper(runner, news) => self.keepers.on_news(context, &runner, news),
             RuntimeEvent::Rows(asked_at, rows) => self.on_rows(asked_at, rows),
-            RuntimeEvent::Placed => {
+            RuntimeEvent::Placed { settled } => {
                 self.placing = false;
+                self.placing_rest = if settled { PLACING_REST } else { Duration::ZERO };
                 self.last_read = None;
             }
             RuntimeEvent::ReleaseLeases(done) => {
@@ -328,12 +363,18 @@
     }
 
     fn follow(&mut self) {
-        self.context.members = self.members.borrow().clone();
+        let members_changed = self.context.follow_members(self.members.borrow().clone());
         let snapshot = self.configuration.current();
-        if *self.context.document != snapshot.document {
-            self.context.document = Arc::new(snapshot.document.clone());
+        let document_changed = !Arc::ptr_eq(&self.context.configuration, &snapshot);
+        if !members_changed && !document_changed && self.followed {
+            return;
         }
+        self.followed = true;
+        self.placing_rest = Duration::ZERO;
+        self.context.configuration = snapshot;
         self.keepers.follow(&self.context);
+        self.kept =
+            self.keepers.runners().filter(|runner| self.is_in_line(runner)).cloned().collect();
     }
 
     fn tick(&mut self) {
@@ -352,15 +393,8 @@
         if self.reading_since.is_some() || !due {
             return;
         }
-        let keys: Vec<String> = self
-            .keepers
-            .runners()
-            .filter(|runner| {
-                let line = self.context.line("keeper", runner.as_str());
-                line.iter().take(KEEPERS_IN_LINE).any(|host| *host == self.context.host)
-            })
-            .flat_map(|runner| [lease_key(runner), slots_key(runner)])
-            .collect();
+        let keys: Vec<String> =
+            self.kept.iter().flat_map(|runner| [lease_key(runner), slots_key(runner)]).collect();
         self.reading_since = Some(now);
         let (table, events) = (self.context.table.clone(), self.context.events.clone());
         tokio::spawn(async move {
@@ -369,6 +403,12 @@
         });
     }
 
+    /// Tells whether this host may have to keep `runner`.
+    fn is_in_line(&self, runner: &UpstreamId) -> bool {
+        let line = self.context.line("keeper", runner.as_str());
+        line.iter().take(KEEPERS_IN_LINE).any(|host| *host == self.context.host)
+    }
+
     fn on_rows(&mut self, asked_at: ClockInstant, rows: Result<Vec<TableRow>, TableError>) {
         self.reading_since = None;
         self.last_read = Some(self.context.now());
@@ -378,7 +418,7 @@
     /// Brings the slots of models that this host dispatches to the wanted number.
     fn place_models(&mut self) {
         let now = self.context.now();
-        if self.placing || now.since(self.last_placed) < PLACING_PERIOD {
+        if self.placing || now.since(self.last_placed) < PLACING_PERIOD.max(self.placing_rest) {
             return;
         }
         self.last_placed = now;
@@ -386,20 +426,20 @@
             self.context.dispatcher_of(model).as_ref() == Some(&self.context.host)
         };
         let models: Vec<ModelId> =
-            self.context.document.models.keys().filter(own).cloned().collect();
+            self.context.document().models.keys().filter(own).cloned().collect();
         if models.is_empty() {
             return;
         }
         self.placing = true;
         let placer = ModelPlacer {
             table: self.context.table.clone(),
-            document: self.context.document.clone(),
+            configuration: self.context.configuration.clone(),
         };
         let events = self.context.events.clone();
         tokio::spawn(async move {
             // A conflict or an outage is met again at the next look.
-            let _ = placer.place_all(models).await;
-            let _ = events.send(RuntimeEvent::Placed);
+            let settled = placer.place_all(models).await.unwrap_or(false);
+            let _ = events.send(RuntimeEvent::Placed { settled });
         });
     }
 }
@@ -407,38 +447,40 @@
 /// Writes the slots of models.
 struct ModelPlacer {
     table: PlatformTable,
-    document: Arc<ConfigurationDocument>,
+    configuration: Arc<ConfigurationSnapshot>,
 }
 
 impl ModelPlacer {
-    async fn place_all(&self, models: Vec<ModelId>) -> Result<(), TableError> {
+    /// Looks at every model; tells whether all its slots are as wanted.
+    async fn place_all(&self, models: Vec<ModelId>) -> Result<bool, TableError> {
         let mut keys: Vec<String> = models.iter().map(placement_key).collect();
         keys.extend(self.runners().map(|(runner, _)| slots_key(runner)));
         let rows = self.table.read(keys).await?;
         let mut found: BTreeMap<String, TableRow> =
             rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+        let mut settled = true;
         for model in models {
-            self.place(&model, &mut found).await?;
+            settled &= self.place(&model, &mut found).await?;
         }
-        Ok(())
+        Ok(settled)
     }
 
     async fn place(
         &self,
         model: &ModelId,
         found: &mut BTreeMap<String, TableRow>,
-    ) -> Result<(), TableError> {
-        let Some(entry) = self.document.models.get(model) else { return Ok(()) };
+    ) -> Result<bool, TableError> {
+        let Some(entry) = self.configuration.document.models.get(model) else { return Ok(true) };
         let Some(current) = decode::<PlacementRow>(found, &placement_key(model)) else {
-            return Ok(());
+            return Ok(false);
         };
         let memory = entry.memory + entry.kv_reserve;
         let wanted = decide_slots(&current, entry.slots as usize, memory, &self.offers(found));
         if wanted == current {
-            return Ok(());
+            return Ok(current.slots.iter().all(|slot| slot.state == SlotState::Decided));
         }
         let Some(transaction) = slots_transaction(model, &current, &wanted, found) else {
-            return Ok(());
+            return Ok(false);
         };
         let writes = transaction.writes.clone();
         if let CommitOutcome::Committed(versions) = self.table.commit(transaction).await? {
@@ -447,14 +489,18 @@
                 found.insert(write.key.clone(), TableRow { key: write.key, version, value });
             }
         }
-        Ok(())
+        Ok(false)
     }
 
     fn runners(
         &self,
     ) -> impl Iterator<Item = (&UpstreamId, &dotterellane_settings::document::UpstreamEntry)> {
         let runner = |role: &UpstreamRole| matches!(role, UpstreamRole::Runner(_));
-        self.document.upstreams.iter().filter(move |(_, upstream)| runner(&upstream.role))
+        self.configuration
+            .document
+            .upstreams
+            .iter()
+            .filter(move |(_, upstream)| runner(&upstream.role))
     }
 
     fn offers(&self, found: &BTreeMap<String, TableRow>) -> Vec<RunnerOffer> {
@@ -462,7 +508,10 @@
             |(runner, upstream): (&UpstreamId, &dotterellane_settings::document::UpstreamEntry)| {
                 let UpstreamRole::Runner(entry) = &upstream.role else { return None };
                 let slots: RunnerSlots = decode(found, &slots_key(runner))?;
-                let models = slots.slots.keys().filter_map(|model| self.document.models.get(model));
+                let models = slots
+                    .slots
+                    .keys()
+                    .filter_map(|model| self.configuration.document.models.get(model));
                 Some(RunnerOffer {
                     runner: runner.clone(),
                     domain: upstream.domain.clone(),
--- a/crates/fleet/tests/placement_runtime.rs
+++ b/crates/fleet/tests/placement_runtime.rs
@@ -110,3 +110,26 @@
     let refused = ask(&fleet.ports(0), "draft", 51, Duration::from_millis(1)).await;
     expect_that!(refused, err(matches_pattern!(PermitRefusal::TooLate { .. })));
 }
+
+#[gtest]
+#[tokio::test]
+async fn permit_runner_leaving_table_down() -> googletest::Result<()> {
+    let fleet = TestFleet::start(small_shape(1)).await;
+    let ports = fleet.ports(0);
+    let permit = ask(&ports, "draft", 1, DEADLINE).await.or_fail()?;
+    let leaving = permit.runner.clone();
+    answered(&ports, permit);
+    fleet.platform.set_fault(PlatformFault::Down);
+    let mut snapshot = (*ports.configuration.current()).clone();
+    snapshot.version = snapshot.version.next();
+    snapshot.document.upstreams.get_mut(&leaving).unwrap().leaving = true;
+    ports.configuration.follow(snapshot);
+    // The promise gives a leaving runner a few seconds.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for request in 2..5 {
+        let permit = ask(&ports, "draft", request, DEADLINE).await.or_fail()?;
+        expect_that!(permit.runner, not(eq(&leaving)));
+        answered(&ports, permit);
+    }
+    Ok(())
+}
