Keep seats only for runners that a host may have to keep

Cause: every daemon ticked a seat for every runner of the fleet, ten times a second. Change: a seat is made once the host is one of the first three in the runner's line.

--- a/crates/fleet/src/keepers.rs
+++ b/crates/fleet/src/keepers.rs
@@ -94,11 +94,15 @@
         self.seats.values().any(|seat| seat.wants_read)
     }
 
-    /// Follows the runners of the document.
-    pub(crate) fn follow(&mut self, context: &DeskContext) {
+    /// Follows the runners of the document; a seat is made once this host may have to keep its
+    /// runner, and stays, since a claim may be under way.
+    pub(crate) fn follow<L>(&mut self, context: &DeskContext, mut is_in_line: L)
+    where
+        L: FnMut(&UpstreamId) -> bool,
+    {
         for (runner, upstream) in &context.document().upstreams {
             let UpstreamRole::Runner(entry) = &upstream.role else { continue };
-            if self.seats.contains_key(runner) {
+            if self.seats.contains_key(runner) || !is_in_line(runner) {
                 continue;
             }
             let profile = RunnerProfile {
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -154,6 +154,14 @@
         true
     }
 
+    /// Tells whether this host may have to keep `runner`; `known` holds earlier answers.
+    fn is_in_line(&self, runner: &UpstreamId, known: &mut HashMap<UpstreamId, bool>) -> bool {
+        *known.entry(runner.clone()).or_insert_with(|| {
+            let line = self.line("keeper", runner.as_str());
+            line.iter().take(KEEPERS_IN_LINE).any(|host| *host == self.host)
+        })
+    }
+
     pub(crate) fn document(&self) -> &ConfigurationDocument {
         &self.configuration.document
     }
@@ -216,6 +224,7 @@
             last_placed: ClockInstant(0),
             placing_rest: Duration::ZERO,
             kept: Vec::new(),
+            in_line: HashMap::new(),
             followed: false,
         };
         tokio::spawn(stopped.clone().run_until_cancelled_owned(task.run(inbox)));
@@ -311,6 +320,8 @@
     placing_rest: Duration,
     /// Runners that this host may have to keep.
     kept: Vec<UpstreamId>,
+    /// Whether this host may have to keep a runner, for the present members.
+    in_line: HashMap<UpstreamId, bool>,
     followed: bool,
 }
 
@@ -372,9 +383,13 @@
         self.followed = true;
         self.placing_rest = Duration::ZERO;
         self.context.configuration = snapshot;
-        self.keepers.follow(&self.context);
-        self.kept =
-            self.keepers.runners().filter(|runner| self.is_in_line(runner)).cloned().collect();
+        if members_changed {
+            self.in_line.clear();
+        }
+        let (context, in_line) = (&self.context, &mut self.in_line);
+        self.keepers.follow(context, |runner| context.is_in_line(runner, in_line));
+        let runners = self.keepers.runners();
+        self.kept = runners.filter(|runner| context.is_in_line(runner, in_line)).cloned().collect();
     }
 
     fn tick(&mut self) {
@@ -403,12 +418,6 @@
         });
     }
 
-    /// Tells whether this host may have to keep `runner`.
-    fn is_in_line(&self, runner: &UpstreamId) -> bool {
-        let line = self.context.line("keeper", runner.as_str());
-        line.iter().take(KEEPERS_IN_LINE).any(|host| *host == self.context.host)
-    }
-
     fn on_rows(&mut self, asked_at: ClockInstant, rows: Result<Vec<TableRow>, TableError>) {
         self.reading_since = None;
         self.last_read = Some(self.context.now());
