--- a/crates/dotterellane/src/daemon.rs
+++ b/crates/dotterellane/src/daemon.rs
@@ -106,7 +106,7 @@
     let ports = node.ports.clone().with_shares(shares.charge_call(), shares.refund_call());
     let ports = placement.attach(ports);
     let administration = node.administration.clone();
-    let overview = overview::reader(node.members.clone(), ports.clone());
+    let overview = overview::reader(node.members.clone(), ports.clone(), node.table_watch());
     let admin = dotterellane_admin::serve(
         options.admin,
         administration.clone(),
--- a/crates/dotterellane/src/overview.rs
+++ b/crates/dotterellane/src/overview.rs
@@ -1,21 +1,27 @@
 //! The state of the fleet as one daemon shows it to operators.
 
 use dotterellane_admin::overview::{FleetOverview, HostState, RunnerUse, TableHealth, TeamUse};
-use dotterellane_fleet::{FleetPorts, FreshnessState, MemberFeed};
+use dotterellane_fleet::{FleetPorts, MemberFeed};
 use dotterellane_settings::document::{ConfigurationDocument, UpstreamRole};
 
 /// Returns what reads the state.
-pub fn reader(members: MemberFeed, ports: FleetPorts) -> impl Fn() -> FleetOverview + Send + Sync {
+///
+/// `table_reaches` tells whether evidence of the platform's table reaches the daemon.
+pub fn reader<T>(
+    members: MemberFeed,
+    ports: FleetPorts,
+    table_reaches: T,
+) -> impl Fn() -> FleetOverview + Send + Sync
+where
+    T: Fn() -> bool + Send + Sync,
+{
     move || {
         let snapshot = ports.configuration.current();
         FleetOverview {
             teams: teams(&snapshot.document),
             runners: runners(&snapshot.document),
             hosts: hosts(&members),
-            table: TableHealth {
-                reachable: ports.freshness() == FreshnessState::Fresh,
-                ..TableHealth::default()
-            },
+            table: TableHealth { reachable: table_reaches(), ..TableHealth::default() },
             ..FleetOverview::default()
         }
     }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use dotterellane_decisions::freshness::FreshnessEvidence;
 use dotterellane_decisions::rounds::ROUND_PERIOD;
 use dotterellane_platform::{HostList, ObjectStore, PlatformTable, TableTransaction};
 use dotterellane_protocol::{LogBody, LogEntry, LogHeads, MemberRecord, MemberSeat};
@@ -173,6 +174,16 @@
         appended.await
     }
 
+    /// Returns what tells whether evidence of the table, read here or by a peer, reaches this
+    /// daemon now; a daemon may be fresh without it.
+    pub fn table_watch(&self) -> impl Fn() -> bool + Send + Sync + use<> {
+        let control = self.control.clone();
+        move || {
+            let now = control.clock.now();
+            control.state().gossip.freshness.evidence(now) == FreshnessEvidence::Table
+        }
+    }
+
     /// Says that this daemon leaves, and has its seat removed; it still follows and answers.
     pub async fn leave(&self) {
         self.control.leave().await;
