Drain after the first chunk instead of after a pause

Cause: the drain test waited half a second by the clock before SIGTERM. Change: it reads the stream's first chunk, then sends the signal.

--- a/crates/dotterellane/tests/processes.rs
+++ b/crates/dotterellane/tests/processes.rs
@@ -16,7 +16,8 @@
 use dotterellane_standins::{PlainService, platform_server};
 use googletest::prelude::*;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, StatusCode};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use serde_json::json;
@@ -68,7 +69,15 @@
     }
 
     /// Sends a streamed chat request to a daemon; returns status and whole text.
-    async fn chat(&self, daemon: usize, tokens: u32) -> Option<(StatusCode, String)> {
+    async fn chat(&self, daemon: usize, tokens: u32) -> (StatusCode, String) {
+        let answer = self.open_chat(daemon, tokens).await;
+        let status = answer.status();
+        let text = answer.into_body().collect().await.expect("a whole answer").to_bytes();
+        (status, String::from_utf8_lossy(&text).into_owned())
+    }
+
+    /// Sends a streamed chat request to a daemon.
+    async fn open_chat(&self, daemon: usize, tokens: u32) -> Response<Incoming> {
         let body = json!({
             "model": "roster-3b", "stream": true, "max_tokens": tokens,
             "messages": [{"role": "user", "content": "Draft a roster."}],
@@ -79,10 +88,7 @@
             .header("authorization", format!("Bearer {}", self.key.expose()))
             .body(Full::new(Bytes::from(body.to_string())))
             .unwrap();
-        let answer = client.request(request).await.ok()?;
-        let status = answer.status();
-        let text = answer.into_body().collect().await.ok()?.to_bytes();
-        Some((status, String::from_utf8_lossy(&text).into_owned()))
+        client.request(request).await.expect("the daemon answers")
     }
 }
 
@@ -157,12 +163,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn serve_daemon_killed() {
     let mut fleet = ProcessFleet::start("serve_daemon_killed").await;
-    let (status, text) = fleet.chat(0, 8).await.unwrap();
+    let (status, text) = fleet.chat(0, 8).await;
     expect_that!(status, eq(StatusCode::OK), "{text}");
     fleet.daemons[0].process.start_kill().unwrap();
     fleet.daemons[0].process.wait().await.unwrap();
     for daemon in [1, 2] {
-        let (status, text) = fleet.chat(daemon, 8).await.unwrap();
+        let (status, text) = fleet.chat(daemon, 8).await;
         expect_that!(status, eq(StatusCode::OK), "{text}");
         expect_that!(text, ends_with("data: [DONE]\n\n"));
     }
@@ -172,17 +178,16 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn serve_drain_under_stream() {
     let mut fleet = ProcessFleet::start("serve_drain_under_stream").await;
-    fleet.chat(1, 8).await.unwrap();
+    fleet.chat(1, 8).await;
+    let mut answer = fleet.open_chat(1, 400).await;
+    expect_that!(answer.status(), eq(StatusCode::OK));
+    let first = answer.body_mut().frame().await.unwrap().unwrap().into_data().unwrap();
+    // The stream has begun and lasts for seconds.
     let leaving = fleet.daemons[1].process.id().unwrap();
-    let streaming = fleet.chat(1, 400);
-    let draining = async {
-        tokio::time::sleep(std::time::Duration::from_millis(500)).await;
-        let pid = rustix::process::Pid::from_raw(leaving.cast_signed()).unwrap();
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
-    };
-    let (streamed, ()) = tokio::join!(streaming, draining);
-    let (status, text) = streamed.unwrap();
-    expect_that!(status, eq(StatusCode::OK));
+    let leaving = rustix::process::Pid::from_raw(leaving.cast_signed()).unwrap();
+    rustix::process::kill_process(leaving, rustix::process::Signal::TERM).unwrap();
+    let rest = answer.into_body().collect().await.expect("a whole answer").to_bytes();
+    let text = String::from_utf8([first, rest].concat()).unwrap();
     expect_that!(text, ends_with("data: [DONE]\n\n"));
     expect_that!(text.matches("\"content\"").count(), eq(400));
     let ended = fleet.daemons[1].process.wait().await.unwrap();
