Split the keepers by desk, seat and orders

Cause: one file of 757 lines held the desk of all keepers, the seat of one and the tasks that carry orders out. Change: keepers/mod.rs, seat.rs and orders.rs; nothing else. Measured: the package's 27 integration tests pass as before.

--- a/crates/fleet/src/keepers.rs
+++ b/crates/fleet/src/keepers/seat.rs
@@ -1,30 +1,25 @@
-//! The keepers of this host: they wake, evict and unload what dispatchers ask for.
+//! The keeper of one runner, with what it waits for.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use dotterellane_decisions::cold_start::{EvictionCandidate, LoadSpeeds, choose_victims};
 use dotterellane_decisions::keeper::{
-    ItemState, KeeperAction, LeaseView, OrderResult, RunnerKeeper, RunnerProfile, WakeAnswer,
-    WriteResult,
+    ItemState, KeeperAction, LeaseView, RunnerKeeper, WakeAnswer,
 };
 use dotterellane_decisions::leases::{HeldItem, HolderEvidence, RunnerLease};
-use dotterellane_decisions::load_queue::{LoadAsk, LoadKey, LoadQueue, LoadTurn};
-use dotterellane_decisions::placement::{PlacementRow, SlotState};
-use dotterellane_platform::{CommitOutcome, PlatformTable, TableError, TableRow, TableTransaction};
+use dotterellane_decisions::placement::SlotState;
+use dotterellane_platform::TableRow;
 use dotterellane_protocol::PlacementMessage;
 use dotterellane_protocol::placement::{CacheTier, ReplicaReport, ReplicaState, RunnerListing};
-use dotterellane_settings::document::UpstreamRole;
 use dotterellane_units::{
-    AdapterId, ByteSize, ClockInstant, HostId, ModelId, RowVersion, TeamId, UpstreamId,
-    VersionLabel,
+    AdapterId, ByteSize, ClockInstant, ModelId, RowVersion, TeamId, UpstreamId,
 };
-use dotterellane_upstream::orders::{FenceOrder, LoadOrder, OrderError, RunnerOrders, UnloadOrder};
+use dotterellane_upstream::orders::{OrderError, RunnerOrders};
 use spdlog::info;
 
-use crate::placement::{
-    DeskContext, RunnerSlots, RuntimeEvent, decode, lease_key, placement_key, put, slots_key,
-};
+use super::orders::{KeeperNews, OrderTask, load_version, order_result};
+use crate::placement::{DeskContext, RunnerSlots, RuntimeEvent, decode, lease_key, slots_key};
 
 /// How often a runner is asked what it holds.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
@@ -39,180 +34,41 @@
 /// Pause before a fencing number is raised again after no answer.
 const FENCE_PAUSE: Duration = Duration::from_millis(250);
 
-/// What became of something that a keeper had done.
-pub(crate) enum KeeperNews {
-    Written(WriteResult),
-    Fence(Result<RunnerListing, OrderError>),
-    Listed(ClockInstant, Result<RunnerListing, OrderError>),
-    Loaded(HeldItem, Result<(), OrderError>),
-    Unloaded(HeldItem, Result<(), OrderError>),
-}
-
-struct PendingWake {
-    team: TeamId,
-    deadline: ClockInstant,
+/// A wake that was asked for and is not done.
+pub(super) struct PendingWake {
+    pub(super) team: TeamId,
+    pub(super) deadline: ClockInstant,
     /// When the load queue was first asked, last asked and last heard.
-    asked: Option<(ClockInstant, ClockInstant, ClockInstant)>,
-    turn: bool,
+    pub(super) asked: Option<(ClockInstant, ClockInstant, ClockInstant)>,
+    pub(super) turn: bool,
 }
 
-struct ModelUsage {
-    busy: bool,
-    last_used: ClockInstant,
-    hold: Duration,
-    heard_at: ClockInstant,
+/// What a dispatcher told last of a replica's use.
+pub(super) struct ModelUsage {
+    pub(super) busy: bool,
+    pub(super) last_used: ClockInstant,
+    pub(super) hold: Duration,
+    pub(super) heard_at: ClockInstant,
 }
 
-struct KeeperSeat {
-    keeper: RunnerKeeper,
+/// The keeper of one runner, with what it waits for.
+pub(super) struct KeeperSeat {
+    pub(super) keeper: RunnerKeeper,
     orders: RunnerOrders,
     tiers: BTreeMap<ModelId, CacheTier>,
     busy: u32,
     listed_at: Option<ClockInstant>,
     listing_since: Option<ClockInstant>,
-    wakes: BTreeMap<HeldItem, PendingWake>,
+    pub(super) wakes: BTreeMap<HeldItem, PendingWake>,
     turns: Vec<HeldItem>,
-    usage: BTreeMap<ModelId, ModelUsage>,
+    pub(super) usage: BTreeMap<ModelId, ModelUsage>,
     draining: BTreeMap<HeldItem, ClockInstant>,
     reported: BTreeMap<ModelId, (ReplicaReport, ClockInstant)>,
-    wants_read: bool,
-}
-
-/// All keepers of this host, and the fleet's load queue if this host holds it.
-#[derive(Default)]
-pub(crate) struct KeeperDesk {
-    seats: BTreeMap<UpstreamId, KeeperSeat>,
-    load_queue: LoadQueue,
-}
-
-impl KeeperDesk {
-    pub(crate) fn runners(&self) -> impl Iterator<Item = &UpstreamId> {
-        self.seats.keys()
-    }
-
-    pub(crate) fn wants_read(&self) -> bool {
-        self.seats.values().any(|seat| seat.wants_read)
-    }
-
-    /// Follows the runners of the document; a seat is made once this host may have to keep its
-    /// runner, and stays, since a claim may be under way.
-    pub(crate) fn follow<L>(&mut self, context: &DeskContext, mut is_in_line: L)
-    where
-        L: FnMut(&UpstreamId) -> bool,
-    {
-        for (runner, upstream) in &context.document().upstreams {
-            let UpstreamRole::Runner(entry) = &upstream.role else { continue };
-            if self.seats.contains_key(runner) || !is_in_line(runner) {
-                continue;
-            }
-            let profile = RunnerProfile {
-                runner: runner.clone(),
-                capacity: entry.memory,
-                honours_fencing: entry.honours_fencing,
-            };
-            let keeper = RunnerKeeper::new(profile, context.host.clone(), context.incarnation);
-            let orders = (context.orders)(runner, upstream.address);
-            self.seats.insert(runner.clone(), KeeperSeat::new(keeper, orders));
-        }
-        self.seats.retain(|runner, _| context.document().upstreams.contains_key(runner));
-    }
-
-    pub(crate) fn on_tick(&mut self, context: &DeskContext) {
-        let turns = self.load_queue.on_tick(context.now());
-        give_turns(context, turns);
-        for (runner, seat) in &mut self.seats {
-            seat.on_tick(context, runner);
-        }
-    }
-
-    /// Takes in the lease and slot rows, `None` if the table did not answer.
-    pub(crate) fn on_rows(
-        &mut self,
-        context: &DeskContext,
-        asked_at: ClockInstant,
-        rows: Option<&[TableRow]>,
-    ) {
-        let found: Option<BTreeMap<String, TableRow>> =
-            rows.map(|rows| rows.iter().map(|row| (row.key.clone(), row.clone())).collect());
-        for (runner, seat) in &mut self.seats {
-            seat.on_rows(context, runner, asked_at, found.as_ref());
-        }
-    }
-
-    pub(crate) fn on_news(&mut self, context: &DeskContext, runner: &UpstreamId, news: KeeperNews) {
-        if let Some(seat) = self.seats.get_mut(runner) {
-            seat.on_news(context, runner, news);
-        }
-    }
-
-    pub(crate) fn on_message(
-        &mut self,
-        context: &DeskContext,
-        from: &HostId,
-        message: PlacementMessage,
-    ) {
-        let now = context.now();
-        match message {
-            PlacementMessage::Wake { model, adapter, runner, team, remaining } => {
-                let Some(seat) = self.seats.get_mut(&runner) else { return };
-                let wake =
-                    PendingWake { team, deadline: now + remaining, asked: None, turn: false };
-                seat.add_wake(HeldItem { model, adapter }, wake);
-                seat.process_wakes(context, &runner);
-            }
-            PlacementMessage::LoadAsk { runner, model, adapter, team, remaining, .. } => {
-                let key = LoadKey { runner: runner.clone(), item: HeldItem { model, adapter } };
-                let HeldItem { model, adapter } = key.item.clone();
-                let ask = LoadAsk { key, keeper: from.clone(), team, deadline: now + remaining };
-                let queued = PlacementMessage::LoadQueued { runner, model, adapter };
-                context.send_placement(from, queued);
-                give_turns(context, self.load_queue.ask(now, ask));
-            }
-            PlacementMessage::LoadDone { runner, model, adapter } => {
-                let key = LoadKey { runner, item: HeldItem { model, adapter } };
-                give_turns(context, self.load_queue.done(now, &key));
-            }
-            PlacementMessage::LoadGrant { runner, model, adapter } => {
-                let item = HeldItem { model, adapter };
-                let Some(seat) = self.seats.get_mut(&runner) else { return };
-                seat.take_turn(context, &runner, item);
-            }
-            PlacementMessage::LoadQueued { runner, model, adapter } => {
-                let item = HeldItem { model, adapter };
-                let wake = self.seats.get_mut(&runner).and_then(|seat| seat.wakes.get_mut(&item));
-                if let Some((_, _, heard)) = wake.and_then(|wake| wake.asked.as_mut()) {
-                    *heard = now;
-                }
-            }
-            PlacementMessage::Usage { model, runner, busy, idle, hold } => {
-                let Some(seat) = self.seats.get_mut(&runner) else { return };
-                let usage = ModelUsage { busy, last_used: now - idle, hold, heard_at: now };
-                seat.usage.insert(model, usage);
-                seat.drain(context, &runner);
-            }
-            PlacementMessage::Replica(_) => (),
-        }
-    }
-
-    /// Gives back every lease whose runner has no order under way.
-    pub(crate) fn release_all(&mut self, context: &DeskContext) {
-        for (runner, seat) in &mut self.seats {
-            let actions = seat.keeper.release();
-            seat.act(context, runner, actions);
-        }
-    }
-}
-
-fn give_turns(context: &DeskContext, turns: Vec<LoadTurn>) {
-    for LoadTurn { key, keeper } in turns {
-        let HeldItem { model, adapter } = key.item;
-        let grant = PlacementMessage::LoadGrant { runner: key.runner, model, adapter };
-        context.send_placement(&keeper, grant);
-    }
+    pub(super) wants_read: bool,
 }
 
 impl KeeperSeat {
-    fn new(keeper: RunnerKeeper, orders: RunnerOrders) -> Self {
+    pub(super) fn new(keeper: RunnerKeeper, orders: RunnerOrders) -> Self {
         Self {
             keeper,
             orders,
@@ -229,7 +85,7 @@
         }
     }
 
-    fn on_tick(&mut self, context: &DeskContext, runner: &UpstreamId) {
+    pub(super) fn on_tick(&mut self, context: &DeskContext, runner: &UpstreamId) {
         let now = context.now();
         let due = self.listed_at.is_none_or(|at| now.since(at) >= LIST_PERIOD);
         let first = context.keeper_of(runner).as_ref() == Some(&context.host);
@@ -248,7 +104,7 @@
         }
     }
 
-    fn on_rows(
+    pub(super) fn on_rows(
         &mut self,
         context: &DeskContext,
         runner: &UpstreamId,
@@ -269,7 +125,7 @@
         }
     }
 
-    fn on_news(&mut self, context: &DeskContext, runner: &UpstreamId, news: KeeperNews) {
+    pub(super) fn on_news(&mut self, context: &DeskContext, runner: &UpstreamId, news: KeeperNews) {
         let now = context.now();
         let held = self.keeper.holds();
         let actions = match news {
@@ -315,7 +171,7 @@
             listing.cached.iter().map(|cached| (cached.model.clone(), cached.tier)).collect();
     }
 
-    fn add_wake(&mut self, item: HeldItem, wake: PendingWake) {
+    pub(super) fn add_wake(&mut self, item: HeldItem, wake: PendingWake) {
         if item.adapter.is_some() {
             let base = HeldItem::model(item.model.clone());
             let same = PendingWake { team: wake.team.clone(), ..wake };
@@ -334,7 +190,7 @@
         kept.deadline = kept.deadline.max(deadline);
     }
 
-    fn process_wakes(&mut self, context: &DeskContext, runner: &UpstreamId) {
+    pub(super) fn process_wakes(&mut self, context: &DeskContext, runner: &UpstreamId) {
         let items: Vec<HeldItem> = self.wakes.keys().cloned().collect();
         for item in items {
             self.process_wake(context, runner, &item);
@@ -403,7 +259,7 @@
         false
     }
 
-    fn take_turn(&mut self, context: &DeskContext, runner: &UpstreamId, item: HeldItem) {
+    pub(super) fn take_turn(&mut self, context: &DeskContext, runner: &UpstreamId, item: HeldItem) {
         if let Some(wake) = self.wakes.get_mut(&item) {
             wake.turn = true;
             if !self.turns.contains(&item) {
@@ -502,7 +358,7 @@
     }
 
     /// Unloads what its dispatcher has stopped using.
-    fn drain(&mut self, context: &DeskContext, runner: &UpstreamId) {
+    pub(super) fn drain(&mut self, context: &DeskContext, runner: &UpstreamId) {
         let now = context.now();
         let draining: Vec<(HeldItem, ClockInstant)> =
             self.draining.iter().map(|(item, since)| (item.clone(), *since)).collect();
@@ -572,7 +428,12 @@
         }
     }
 
-    fn act(&mut self, context: &DeskContext, runner: &UpstreamId, actions: Vec<KeeperAction>) {
+    pub(super) fn act(
+        &mut self,
+        context: &DeskContext,
+        runner: &UpstreamId,
+        actions: Vec<KeeperAction>,
+    ) {
         for action in actions {
             let task = OrderTask {
                 orders: self.orders.clone(),
@@ -603,105 +464,6 @@
     }
 }
 
-/// Carries one action out, away from the task that owns the state.
-struct OrderTask {
-    orders: RunnerOrders,
-    table: PlatformTable,
-    runner: UpstreamId,
-}
-
-impl OrderTask {
-    async fn carry_out(
-        self,
-        action: KeeperAction,
-        now: ClockInstant,
-        version: Option<VersionLabel>,
-    ) -> KeeperNews {
-        match action {
-            KeeperAction::ReadLease | KeeperAction::List => {
-                KeeperNews::Listed(now, self.orders.list().await)
-            }
-            KeeperAction::WriteLease { expected, lease, removed } => {
-                KeeperNews::Written(self.write(expected, &lease, removed).await)
-            }
-            KeeperAction::RaiseFence(fence) => {
-                KeeperNews::Fence(self.orders.raise_fence(FenceOrder { fence }).await)
-            }
-            KeeperAction::Load { item, memory, fence } => {
-                let Some(version) = version else {
-                    let (step, peer) = ("load", self.runner.to_string());
-                    let cause = "no longer configured".to_owned();
-                    return KeeperNews::Loaded(
-                        item,
-                        Err(OrderError::Refused { step, peer, cause }),
-                    );
-                };
-                let (model, adapter) = (item.model.clone(), item.adapter.clone());
-                let order = LoadOrder { fence, model, adapter, version, memory };
-                KeeperNews::Loaded(item, self.orders.load(order).await)
-            }
-            KeeperAction::Unload { item, fence } => {
-                let (model, adapter) = (item.model.clone(), item.adapter.clone());
-                let order = UnloadOrder { fence, model, adapter };
-                KeeperNews::Unloaded(item, self.orders.unload(order).await)
-            }
-        }
-    }
-
-    async fn write(
-        &self,
-        expected: RowVersion,
-        lease: &RunnerLease,
-        removed: Option<ModelId>,
-    ) -> WriteResult {
-        let mut found = BTreeMap::new();
-        if let Some(model) = &removed {
-            let keys = vec![placement_key(model), slots_key(&self.runner)];
-            match self.table.read(keys).await {
-                Ok(rows) => found.extend(rows.into_iter().map(|row| (row.key.clone(), row))),
-                Err(_) => return WriteResult::Unavailable,
-            }
-        }
-        let Some(transaction) = self.lease_transaction(expected, lease, removed.as_ref(), &found)
-        else {
-            return WriteResult::Conflict;
-        };
-        match self.table.commit(transaction).await {
-            Ok(CommitOutcome::Committed(versions)) => {
-                WriteResult::Committed(versions.first().copied().unwrap_or_default())
-            }
-            Ok(CommitOutcome::Conflict(_)) => WriteResult::Conflict,
-            Err(TableError::Unavailable { .. }) => WriteResult::Unavailable,
-            Err(TableError::AnswerLost { .. }) => WriteResult::Lost,
-        }
-    }
-
-    /// Returns the transaction, `None` if the slot to remove is not retiring any more.
-    fn lease_transaction(
-        &self,
-        expected: RowVersion,
-        lease: &RunnerLease,
-        removed: Option<&ModelId>,
-        found: &BTreeMap<String, TableRow>,
-    ) -> Option<TableTransaction> {
-        let mut transaction = TableTransaction::default();
-        let key = lease_key(&self.runner);
-        let held = TableRow { key: key.clone(), version: expected, value: Vec::new() };
-        put(&mut transaction, &BTreeMap::from([(key.clone(), held)]), key, lease);
-        if let Some(model) = removed {
-            let mut row: PlacementRow = decode(found, &placement_key(model))?;
-            let mut slots: RunnerSlots = decode(found, &slots_key(&self.runner))?;
-            if !row.remove_retiring(&self.runner) {
-                return None;
-            }
-            slots.slots.remove(model);
-            put(&mut transaction, found, placement_key(model), &row);
-            put(&mut transaction, found, slots_key(&self.runner), &slots);
-        }
-        Some(transaction)
-    }
-}
-
 fn read_view(found: &BTreeMap<String, TableRow>, runner: &UpstreamId) -> Option<LeaseView> {
     let slots: RunnerSlots = decode(found, &slots_key(runner))?;
     let row = found.get(&lease_key(runner));
@@ -738,20 +500,3 @@
         Some(adapter) => Some(context.document().adapters.get(adapter)?.memory),
     }
 }
-
-fn load_version(context: &DeskContext, action: &KeeperAction) -> Option<VersionLabel> {
-    let KeeperAction::Load { item, .. } = action else { return None };
-    match &item.adapter {
-        None => Some(context.document().models.get(&item.model)?.version.clone()),
-        Some(adapter) => Some(context.document().adapters.get(adapter)?.version.clone()),
-    }
-}
-
-fn order_result(result: &Result<(), OrderError>) -> OrderResult {
-    match result {
-        Ok(()) => OrderResult::Done,
-        Err(OrderError::Stale { current, .. }) => OrderResult::Stale(*current),
-        Err(OrderError::Refused { .. }) => OrderResult::Refused,
-        Err(OrderError::Unanswered { .. }) => OrderResult::Unanswered,
-    }
-}
