--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -142,8 +142,8 @@
 }
 
 fn fit_lines(factor: SlopeFactor, samples: &[SlopeSample]) -> BTreeMap<String, MeasuredLine> {
-    type CostReading = fn(&SlopeSample) -> f64;
-    let costs: [(&str, CostReading); 6] = [
+    type SampleReader = fn(&SlopeSample) -> f64;
+    let costs: [(&str, SampleReader); 6] = [
         ("sent_bytes", |sample| sample.sent_bytes),
         ("received_bytes", |sample| sample.received_bytes),
         ("processor_percent", |sample| sample.processor_percent),
@@ -157,7 +157,7 @@
         SlopeFactor::Runners => sample.runners as f64,
         SlopeFactor::Changes => sample.changes as f64,
     };
-    let line = |read: CostReading| {
+    let line = |read: SampleReader| {
         let points: Vec<_> = samples.iter().map(|sample| (size(sample), read(sample))).collect();
         fit_line(&points)
     };
