--- a/crates/dotterellane/src/commands/check.rs
+++ b/crates/dotterellane/src/commands/check.rs
@@ -1,15 +1,15 @@
 //! Checks files without asking the fleet.
 
-use std::fs;
 use std::path::Path;
 
 use dotterellane_settings::daemon::read_settings;
 use dotterellane_settings::document::ConfigurationDocument;
 use dotterellane_settings::read_document;
-use miette::{IntoDiagnostic, Report, WrapErr};
+use miette::Report;
 
 use crate::cli::operators::FileKind;
 use crate::exit_codes::ExitCode;
+use crate::files::read_file;
 
 /// Checks a file and prints every error with its line.
 pub fn run(file: &Path, kind: FileKind) -> miette::Result<ExitCode> {
@@ -19,12 +19,6 @@
     }
 }
 
-/// Reads a file.
-pub fn read_file(file: &Path) -> miette::Result<String> {
-    let text = fs::read_to_string(file).into_diagnostic();
-    text.wrap_err_with(|| format!("reading {}", file.display()))
-}
-
 /// Reads and checks a document; prints its faults if it has any.
 pub fn read_checked(file: &Path) -> miette::Result<Option<ConfigurationDocument>> {
     let text = read_file(file)?;
--- a/crates/dotterellane/src/commands/config.rs
+++ b/crates/dotterellane/src/commands/config.rs
@@ -10,11 +10,12 @@
 use miette::{IntoDiagnostic, WrapErr, miette};
 
 use super::changes::{change_path, print_diff, print_progress, refuse, report};
-use super::check::{read_checked, read_file};
+use super::check::read_checked;
 use super::client::ApiClient;
 use super::tables::{Table, age_text};
 use crate::cli::operators::{ChangeArguments, ConfigCommand, ConnectionArguments, FileKind};
 use crate::exit_codes::ExitCode;
+use crate::files::read_file;
 
 /// Starts the line that names the version which a file was made from.
 const VERSION_LINE: &str = "# version ";
--- a/crates/dotterellane/src/lib.rs
+++ b/crates/dotterellane/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod daemon;
 pub mod demo;
 pub mod exit_codes;
+mod files;
 pub mod logging;
 pub mod overview;
 pub mod serve;
--- a/crates/dotterellane/src/serve.rs
+++ b/crates/dotterellane/src/serve.rs
@@ -13,6 +13,7 @@
 
 use crate::daemon::{self, DaemonOptions};
 use crate::exit_codes::ExitCode;
+use crate::files::read_file;
 use crate::signals;
 
 /// Shortest fleet secret, in bytes.
@@ -23,7 +24,7 @@
 /// # Errors
 /// Fails if an address cannot be listened on or a file cannot be read.
 pub fn run(file: &Path) -> miette::Result<ExitCode> {
-    let settings = match read_settings(&file.display().to_string(), &read_text(file)?) {
+    let settings = match read_settings(&file.display().to_string(), &read_file(file)?) {
         Ok(settings) => settings,
         Err(error) => {
             anstream::eprintln!("{:?}", Report::new(error));
@@ -42,11 +43,6 @@
     })
 }
 
-fn read_text(file: &Path) -> miette::Result<String> {
-    let text = std::fs::read_to_string(file).into_diagnostic();
-    text.wrap_err_with(|| format!("reading {}", file.display()))
-}
-
 fn daemon_options(settings: DaemonSettings) -> miette::Result<DaemonOptions> {
     let secret = read_secret(&settings.fleet_secret_file)?;
     let platform = NodePlatform {
