--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,7 +3,6 @@
 //! The entry sees the fleet through [`FleetPorts`] alone.
 
 pub mod administration;
-pub mod clock;
 pub mod configuration;
 mod configuration_log;
 pub mod control;
@@ -27,9 +26,9 @@
 pub use administration::{
     AdministrationPorts, ChangeProgress, ChangeRecord, ProposalError, ProposedChange,
 };
-pub use clock::boot_clock;
 pub use configuration::{ConfigurationFeed, ConfigurationSnapshot};
 pub use control::AppendError;
+pub use dotterellane_units::boot_clock;
 pub use node::{FleetNode, NodeError, NodePlatform, NodeSettings};
 pub use peers::{MemberFeed, MemberInfo, MemberView, PeerDelivery, PeerInbox, PeerSender};
 pub use placement::{OrdersFactory, PlacementParts, PlacementRuntime};
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,217 @@
+//! From a caller's request to its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dotterellane_units::{ClockInstant, TeamId, TokenCount};
+use http::header::{CONNECTION, HOST};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use crate::body::GatewayBody;
+use crate::call::{CallHead, ModelChoice};
+use crate::dispatch::dispatch;
+use crate::document::HostRoute;
+use crate::refusal::GatewayRefusal;
+use crate::state::{Host, HostState};
+
+/// When a caller should come back to a host that lost sight of the configuration.
+const STALE_RETRY: Duration = Duration::from_millis(400);
+
+/// Longest wait told to a team that is over its rate.
+const LONGEST_RETRY: Duration = Duration::from_secs(5);
+
+/// A request that was read whole.
+#[derive(Debug)]
+pub struct GatewayCall {
+    /// What its head says.
+    pub head: CallHead,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// Host that it names.
+    pub host: String,
+    /// Path alone.
+    pub path: String,
+    /// Body.
+    pub body: Bytes,
+    /// When it arrived.
+    pub arrived: ClockInstant,
+}
+
+/// What the configuration says of a request.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    /// Route.
+    pub route: Arc<HostRoute>,
+    /// Team that pays, with its rank.
+    pub team: Option<(TeamId, Option<u8>)>,
+    /// Whether only a fresh configuration allows it.
+    pub keyed: bool,
+    /// What it costs the team.
+    pub cost: TokenCount,
+    /// Longest body that a caller may send, in bytes.
+    pub body_bytes: usize,
+}
+
+/// Answers one request of a caller.
+pub async fn answer(host: Arc<Host>, request: Request<Incoming>) -> Response<GatewayBody> {
+    let arrived = host.now();
+    let (parts, body) = request.into_parts();
+    let head = (host.wire.call)(&parts.headers);
+    let named = parts.uri.host().map(str::to_owned).or_else(|| {
+        parts.headers.get(HOST).and_then(|value| value.to_str().ok()).map(str::to_owned)
+    });
+    let path = parts.uri.path().to_owned();
+    let target = parts.uri.path_and_query().map_or_else(|| path.clone(), ToString::to_string);
+    let mut call = GatewayCall {
+        head,
+        headers: parts.headers,
+        method: parts.method,
+        target,
+        host: named.unwrap_or_default(),
+        path,
+        body: Bytes::new(),
+        arrived,
+    };
+    let admitted = admit(&host, &host.state(), &call);
+    let limit = admitted.as_ref().map_or(usize::MAX, |admission| admission.body_bytes);
+    let answered = match Limited::new(body, limit).collect().await {
+        Err(_) => Err(GatewayRefusal::fixed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long")),
+        Ok(body) => {
+            call.body = body.to_bytes();
+            let call = Arc::new(call);
+            let answered = match admitted {
+                Err(refusal) => Err(refusal),
+                Ok(admission) => serve(&host, &call, admission).await,
+            };
+            return finish(&host, &call, answered);
+        }
+    };
+    finish(&host, &call, answered)
+}
+
+async fn serve(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    admission: Admission,
+) -> Result<Response<GatewayBody>, GatewayRefusal> {
+    if let Some((team, _)) = &admission.team {
+        charge(host, team, admission.cost)?;
+    }
+    let (team, cost) = (admission.team.clone(), admission.cost);
+    let answered = dispatch(host, call, admission).await;
+    if let (Err(refusal), Some((team, _))) = (&answered, &team)
+        && refusal.status == StatusCode::SERVICE_UNAVAILABLE
+    {
+        host.state().levels.refund(team, cost);
+    }
+    answered
+}
+
+fn charge(host: &Host, team: &TeamId, cost: TokenCount) -> Result<(), GatewayRefusal> {
+    let mut state = host.state();
+    let charged = state.levels.charge(host.now(), team, cost);
+    state.unreported = true;
+    drop(state);
+    host.spending_changed.notify_one();
+    charged.map_err(|wait| GatewayRefusal::over_rate(wait.min(LONGEST_RETRY)))
+}
+
+/// Returns what the newest configuration says of a request.
+///
+/// # Errors
+/// Fails if the configuration does not allow it, or cannot be trusted to be the newest.
+pub fn admit(
+    host: &Host,
+    state: &HostState,
+    call: &GatewayCall,
+) -> Result<Admission, GatewayRefusal> {
+    let fresh = state.is_fresh(host.now(), host.settings.freshness);
+    let stale = || GatewayRefusal::not_run("stale_configuration", STALE_RETRY);
+    let unless_stale = |refusal: GatewayRefusal| if fresh { refusal } else { stale() };
+    let Some(document) = &state.document else {
+        return Err(GatewayRefusal::not_run("no_configuration", STALE_RETRY));
+    };
+    let Some(route) = document.find_route(&call.host, &call.path) else {
+        return Err(unless_stale(GatewayRefusal::fixed(StatusCode::NOT_FOUND, "no_route")));
+    };
+    let keyed = !document.teams.is_empty() && !route.open_to_all;
+    let mut admission = Admission {
+        route: route.clone(),
+        team: None,
+        keyed,
+        cost: TokenCount(0),
+        body_bytes: document.limits.body_bytes,
+    };
+    if keyed {
+        if !fresh {
+            return Err(stale());
+        }
+        let team = call.head.key.as_deref().and_then(|key| document.find_team(key));
+        let Some(team) = team else {
+            return Err(GatewayRefusal::fixed(StatusCode::UNAUTHORIZED, "unknown_key"));
+        };
+        admission.cost = match (team.counts_tokens, call.head.tokens) {
+            (true, Some((prompt, answer))) => TokenCount(prompt.0.saturating_add(answer.0)),
+            (true, None) => team.plain_tokens,
+            (false, _) => TokenCount(1),
+        };
+        admission.team = Some((team.name.clone(), team.priority));
+    }
+    Ok(admission)
+}
+
+fn finish(
+    host: &Host,
+    call: &GatewayCall,
+    answered: Result<Response<GatewayBody>, GatewayRefusal>,
+) -> Response<GatewayBody> {
+    let now = host.now();
+    let took = now.since(call.arrived);
+    let (mut response, reason) = match answered {
+        Ok(response) => (response, "upstream"),
+        Err(refusal) => {
+            let reason = refusal.reason;
+            log_refusal(host, call, &refusal, took);
+            (refusal.into_response(), reason)
+        }
+    };
+    host.metrics.answers.with_label_values(&[response.status().as_str(), reason]).inc();
+    host.metrics.first_byte.observe(took.as_secs_f64());
+    if host.leaving.is_cancelled() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn log_refusal(host: &Host, call: &GatewayCall, refusal: &GatewayRefusal, took: Duration) {
+    let now = host.now();
+    let state = host.state();
+    let revision = state.document.as_ref().map_or(0, |document| document.revision);
+    let age = state.evidence.map(|seen| now.since(seen).as_millis());
+    drop(state);
+    spdlog::info!("request refused", kv: {
+        request = call.head.request.as_str(),
+        status = refusal.status.as_u16(),
+        reason = refusal.reason,
+        model = model_text(call.head.model.as_ref()).as_str(),
+        after_ms = took.as_millis() as u64,
+        configuration = revision,
+        configuration_age_ms = age.map_or(-1, |age| age as i64),
+    });
+}
+
+/// Returns a model and adapter as logs show them.
+pub fn model_text(choice: Option<&ModelChoice>) -> String {
+    match choice {
+        None => String::new(),
+        Some(ModelChoice { model, adapter: None }) => model.to_string(),
+        Some(ModelChoice { model, adapter: Some(adapter) }) => format!("{model}/{adapter}"),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/crashes.rs
@@ -0,0 +1,94 @@
+//! Requests that crash the upstreams that run them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterellane_decisions::quarantine::{CrashReport, RequestFingerprint};
+use dotterellane_units::{TeamId, UpstreamId};
+use dotterellane_upstream::connect::connect_tcp;
+use tokio::time::{sleep, timeout};
+
+use crate::answer::GatewayCall;
+use crate::messages::PeerNote;
+use crate::peers::send_to_all;
+use crate::state::Host;
+
+/// Pause before an upstream that broke a request off is asked whether it still accepts connections.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(30);
+
+/// Time within which a live upstream accepts a connection.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A request that counts among those that its upstream works on until this is dropped.
+#[derive(Debug)]
+pub struct FlightHold {
+    host: Arc<Host>,
+    fingerprint: RequestFingerprint,
+    upstream: UpstreamId,
+    ended: bool,
+}
+
+impl FlightHold {
+    /// Holds a flight that was entered.
+    pub fn new(host: &Arc<Host>, fingerprint: RequestFingerprint, upstream: UpstreamId) -> Self {
+        Self { host: host.clone(), fingerprint, upstream, ended: false }
+    }
+
+    /// Notes that the request ran to its end.
+    pub fn completed(mut self) {
+        self.ended = true;
+        let cleared = self.host.state().crashes.completed(self.fingerprint, &self.upstream);
+        if let Some(report) = cleared {
+            send_to_all(&self.host, &PeerNote::Crash(report));
+        }
+    }
+}
+
+impl Drop for FlightHold {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.host.state().crashes.left(self.fingerprint, &self.upstream);
+        }
+    }
+}
+
+/// Returns what repetitions of a request share: caller, method, path and body.
+pub fn fingerprint_of(team: Option<&TeamId>, call: &GatewayCall) -> RequestFingerprint {
+    let mut hasher = blake3::Hasher::new();
+    let caller = team.map_or("", TeamId::as_str);
+    for part in [caller.as_bytes(), call.target.as_bytes(), &call.body] {
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part);
+    }
+    let mut digest = [0; 16];
+    digest.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    RequestFingerprint(u128::from_le_bytes(digest))
+}
+
+/// Finds out whether an upstream that broke a request off has crashed, and tells everyone if so.
+pub fn report_break(host: &Arc<Host>, flight: FlightHold, address: SocketAddr) {
+    let host = host.clone();
+    tokio::spawn(async move {
+        sleep(CONFIRM_PAUSE).await;
+        // One that still accepts connections lost the answer alone.
+        let refused = matches!(timeout(CONFIRM_TIMEOUT, connect_tcp(address)).await, Ok(Err(_)));
+        if !refused {
+            return;
+        }
+        let (fingerprint, upstream) = (flight.fingerprint, flight.upstream.clone());
+        let reports = host.state().crashes.crashed(host.now(), fingerprint, &upstream);
+        spdlog::warn!("upstream crashed under a request", kv: {
+            upstream = upstream.as_str(),
+            fingerprint = format!("{:032x}", fingerprint.0).as_str(),
+        });
+        for report in reports {
+            send_to_all(&host, &PeerNote::Crash(report));
+        }
+    });
+}
+
+/// Takes in what another host says of crashes.
+pub fn absorb(host: &Host, report: &CrashReport) {
+    host.state().crashes.absorb(host.now(), report);
+}
--- /dev/null
+++ b/crates/gateway/src/directory.rs
@@ -0,0 +1,164 @@
+//! The upstreams that the platform's directory names, and what is known of them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dotterellane_decisions::weight_plan::HeldModel;
+use dotterellane_units::{ClockInstant, ServiceId, UpstreamId};
+
+use crate::call::{DirectoryEntry, ModelChoice};
+
+/// Time for which an upstream whose row lapsed during trouble of the store is still used.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(1_500);
+
+/// Time for which an upstream that failed is passed over while others are sound.
+pub const FAILURE_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Time after the keeper told what an upstream holds in which rows do not overrule it.
+const KEEPER_MEMORY: Duration = Duration::from_millis(2_800);
+
+/// Time for which an upstream is taken not to hold what it said that it does not hold.
+const MISS_PAUSE: Duration = Duration::from_millis(400);
+
+/// One upstream.
+#[derive(Clone, Debug)]
+pub struct KnownUpstream {
+    /// The directory's row.
+    pub entry: DirectoryEntry,
+    /// Models that it holds, as the directory or the keeper said last.
+    pub held: Vec<HeldModel>,
+    /// When the keeper last said what it holds.
+    told: Option<ClockInstant>,
+    /// When its row went missing.
+    lapsed: Option<ClockInstant>,
+    failed: Option<ClockInstant>,
+    misses: BTreeMap<ModelChoice, ClockInstant>,
+}
+
+impl KnownUpstream {
+    /// Tells whether it may get requests.
+    pub fn is_usable(&self, now: ClockInstant) -> bool {
+        !self.entry.report.draining
+            && self.lapsed.is_none_or(|lapsed| now.since(lapsed) < LAPSE_GRACE)
+    }
+
+    /// Tells whether it failed a moment ago.
+    pub fn is_failing(&self, now: ClockInstant) -> bool {
+        self.failed.is_some_and(|failed| now.since(failed) < FAILURE_PAUSE)
+    }
+
+    /// Tells whether it holds what `choice` names.
+    pub fn holds(&self, choice: &ModelChoice, now: ClockInstant) -> bool {
+        let missed = self.misses.get(choice).is_some_and(|at| now.since(*at) < MISS_PAUSE);
+        !missed
+            && self.held.iter().any(|held| {
+                held.model == choice.model
+                    && choice.adapter.as_ref().is_none_or(|name| held.adapters.contains(name))
+            })
+    }
+}
+
+/// All upstreams by name.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    upstreams: BTreeMap<UpstreamId, KnownUpstream>,
+}
+
+impl Directory {
+    /// Takes in a row; a row that is older than what is known is left out. Tells whether it is used.
+    pub fn put(&mut self, now: ClockInstant, name: UpstreamId, entry: DirectoryEntry) -> bool {
+        let report = &entry.report;
+        if let Some(known) = self.upstreams.get_mut(&name)
+            && known.entry.report.born == report.born
+        {
+            if report.beat < known.entry.report.beat {
+                known.entry.report.draining |= report.draining;
+                return false;
+            }
+            if known.told.is_none_or(|told| now.since(told) > KEEPER_MEMORY) {
+                known.held.clone_from(&report.held);
+            }
+            known.entry = entry;
+            known.lapsed = None;
+            return true;
+        }
+        let known = KnownUpstream {
+            held: report.held.clone(),
+            told: None,
+            entry,
+            lapsed: None,
+            failed: None,
+            misses: BTreeMap::new(),
+        };
+        self.upstreams.insert(name, known);
+        true
+    }
+
+    /// Takes in that a row is gone; with `doubtful`, the store had trouble that may explain it.
+    pub fn remove(&mut self, now: ClockInstant, name: &UpstreamId, doubtful: bool) {
+        match self.upstreams.get_mut(name) {
+            Some(known) if doubtful => known.lapsed = known.lapsed.or(Some(now)),
+            _ => {
+                self.upstreams.remove(name);
+            }
+        }
+    }
+
+    /// Drops upstreams whose rows have been gone for long.
+    pub fn sweep(&mut self, now: ClockInstant) {
+        self.upstreams
+            .retain(|_, known| known.lapsed.is_none_or(|lapsed| now.since(lapsed) < LAPSE_GRACE));
+    }
+
+    /// Takes in what the keeper knows an upstream to hold.
+    pub fn set_held(
+        &mut self,
+        now: ClockInstant,
+        name: &UpstreamId,
+        born: u64,
+        held: Vec<HeldModel>,
+    ) {
+        if let Some(known) = self.upstreams.get_mut(name)
+            && known.entry.report.born == born
+        {
+            known.held = held;
+            known.told = Some(now);
+        }
+    }
+
+    /// Notes that an upstream failed a request.
+    pub fn note_failure(&mut self, now: ClockInstant, name: &UpstreamId) {
+        if let Some(known) = self.upstreams.get_mut(name) {
+            known.failed = Some(now);
+        }
+    }
+
+    /// Notes that an upstream does not hold a model.
+    pub fn note_miss(&mut self, now: ClockInstant, name: &UpstreamId, choice: ModelChoice) {
+        if let Some(known) = self.upstreams.get_mut(name) {
+            known.misses.retain(|_, at| now.since(*at) < MISS_PAUSE);
+            known.misses.insert(choice, now);
+        }
+    }
+
+    /// Returns one upstream.
+    pub fn get(&self, name: &UpstreamId) -> Option<&KnownUpstream> {
+        self.upstreams.get(name)
+    }
+
+    /// Returns all upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = (&UpstreamId, &KnownUpstream)> {
+        self.upstreams.iter()
+    }
+
+    /// Returns the upstreams of one service that may get requests.
+    pub fn usable<'a>(
+        &'a self,
+        service: &'a ServiceId,
+        now: ClockInstant,
+    ) -> impl Iterator<Item = (&'a UpstreamId, &'a KnownUpstream)> {
+        let of_service =
+            move |known: &KnownUpstream| known.entry.service == *service && known.is_usable(now);
+        self.upstreams.iter().filter(move |(_, known)| of_service(known))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,448 @@
+//! Finding an upstream for a request, and sending it there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dotterellane_decisions::quarantine::RequestFingerprint;
+use dotterellane_decisions::runner_choice::{RunnerCandidate, choose_runner};
+use dotterellane_units::{ClockInstant, ServiceId, UpstreamId};
+use http::{HeaderMap, Response, StatusCode};
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use tokio::time::{sleep, timeout};
+
+use crate::answer::{Admission, GatewayCall, admit, model_text};
+use crate::body::GatewayBody;
+use crate::call::{AnswerKind, SendHead};
+use crate::crashes::{FlightHold, fingerprint_of, report_break};
+use crate::document::CallKind;
+use crate::exchange::{Exchange, ExchangeError, exchange, read_whole};
+use crate::refusal::GatewayRefusal;
+use crate::relay::start_relay;
+use crate::state::{Host, RunHold, WaitHold, WaitingRequest};
+
+/// Time that must be left for a send to make sense.
+const LEAST_REMAINING: Duration = Duration::from_millis(60);
+
+/// Pause between two looks for an upstream when nothing said that one may have come.
+const LOOK_PAUSE: Duration = Duration::from_millis(150);
+
+/// Pause after an upstream said that it is full.
+const FULL_PAUSE: Duration = Duration::from_millis(40);
+
+/// Time without an answer after which a repeatable call goes to another upstream.
+const REPEATABLE_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Time without an answer after which a stream that can go on elsewhere does so.
+const RESUMABLE_SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Most sends of one request, those included that an upstream did not take.
+const MOST_SENDS: u32 = 8;
+
+/// When a caller should come back after its request found no upstream in time.
+const NO_PLACE_RETRY: Duration = Duration::from_millis(300);
+
+/// What was tried for one request.
+#[derive(Clone, Debug)]
+pub struct Journey {
+    /// When the request must be answered.
+    pub deadline: ClockInstant,
+    /// Service that runs it.
+    pub service: ServiceId,
+    /// Upstreams that it was sent to.
+    pub tried: Vec<UpstreamId>,
+    /// Sends so far.
+    pub sends: u32,
+    /// Sends after which it may have run.
+    pub runs: u32,
+    /// Last event that the caller has.
+    pub last_event: Option<String>,
+    /// What tells this request's repetitions from others.
+    pub fingerprint: RequestFingerprint,
+}
+
+/// An upstream that was found for a request.
+#[derive(Debug)]
+pub struct FoundPlace {
+    /// Name.
+    pub name: UpstreamId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Counts the request as running there.
+    pub hold: RunHold,
+    /// Counts the request among those that may crash the upstream.
+    pub flight: FlightHold,
+}
+
+/// How a send ended.
+#[derive(Debug)]
+pub enum SendEnd {
+    /// The head of an answer of the request's run.
+    Head(FoundPlace, Response<Incoming>),
+    /// The request did not run; another upstream may be asked after a pause.
+    NotRun(Duration),
+    /// The request may have run.
+    Broken(&'static str),
+}
+
+/// Finds an upstream, sends the request there, and elsewhere if it must and may.
+///
+/// # Errors
+/// Fails if no upstream gives an answer that can be passed on.
+pub async fn dispatch(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    mut admission: Admission,
+) -> Result<Response<GatewayBody>, GatewayRefusal> {
+    let mut journey = begin(host, call, &admission);
+    let mut fallback = None;
+    loop {
+        let place = match find_place(host, call, &mut admission, &journey).await {
+            Ok(place) => place,
+            Err(refusal) => return fallback.map_or_else(|| Err(journey.settle(refusal)), Ok),
+        };
+        match send(host, call, &admission, &mut journey, place).await {
+            SendEnd::Head(place, head) => {
+                if head.status().is_success() && admission.route.kind.is_stream() {
+                    return Ok(start_relay(host, call, admission, journey, place, head));
+                }
+                match finish_whole(host, call, &mut journey, place, head).await {
+                    Some(answer) => {
+                        let failed = answer.status().is_server_error();
+                        if !failed || !journey.may_run_again(host, &admission) {
+                            return Ok(answer);
+                        }
+                        fallback = Some(answer);
+                    }
+                    None if journey.may_run_again(host, &admission) => {}
+                    None => return Err(GatewayRefusal::upstream_failed("answer_broken")),
+                }
+            }
+            SendEnd::NotRun(pause) => {
+                if journey.sends >= MOST_SENDS || !may_resend(host, &journey.service) {
+                    let refusal = GatewayRefusal::not_run("no_place", NO_PLACE_RETRY);
+                    return fallback.map_or_else(|| Err(journey.settle(refusal)), Ok);
+                }
+                sleep(pause).await;
+            }
+            SendEnd::Broken(reason) => {
+                if !journey.may_run_again(host, &admission) {
+                    let refusal = match journey.remaining(host) {
+                        Some(_) => GatewayRefusal::upstream_failed(reason),
+                        None => GatewayRefusal::timed_out(),
+                    };
+                    return fallback.map_or(Err(refusal), Ok);
+                }
+            }
+        }
+    }
+}
+
+fn begin(host: &Host, call: &GatewayCall, admission: &Admission) -> Journey {
+    let now = host.now();
+    let timeout = admission.route.timeout;
+    let patience = call.head.patience.map_or(timeout, |patience| patience.min(timeout));
+    let fingerprint = fingerprint_of(admission.team.as_ref().map(|(team, _)| team), call);
+    let service = pick_service(call, admission);
+    let mut state = host.state();
+    let limits = host.resend_limits(&state);
+    state.resends.entry(service.clone()).or_default().note_request(now, &limits);
+    if let Some(choice) = &call.head.model {
+        *state.arrivals.entry((service.clone(), choice.clone())).or_default() += 1;
+    }
+    drop(state);
+    Journey {
+        deadline: call.arrived + patience,
+        service,
+        tried: Vec::new(),
+        sends: 0,
+        runs: 0,
+        last_event: call.head.last_event.clone(),
+        fingerprint,
+    }
+}
+
+/// Returns a number that is the same for each repetition of a request id.
+fn spread_of(call: &GatewayCall) -> u64 {
+    let digest = blake3::hash(call.head.request.as_bytes());
+    let mut spread = [0; 8];
+    spread.copy_from_slice(&digest.as_bytes()[..8]);
+    u64::from_le_bytes(spread)
+}
+
+fn pick_service(call: &GatewayCall, admission: &Admission) -> ServiceId {
+    let targets = &admission.route.targets;
+    let total: u64 = targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    let mut left = spread_of(call).checked_rem(total).unwrap_or(0);
+    for (service, weight) in targets {
+        let weight = u64::from(*weight);
+        if left < weight {
+            return service.clone();
+        }
+        left -= weight;
+    }
+    targets[0].0.clone()
+}
+
+fn may_resend(host: &Host, service: &ServiceId) -> bool {
+    let mut state = host.state();
+    let limits = host.resend_limits(&state);
+    state.resends.entry(service.clone()).or_default().take(host.now(), &limits)
+}
+
+impl Journey {
+    /// Returns the time that is left, `None` if it is over.
+    pub fn remaining(&self, host: &Host) -> Option<Duration> {
+        let left = self.deadline.since(host.now());
+        (left > LEAST_REMAINING).then_some(left)
+    }
+
+    /// Tells whether the request may run again although it may have run; takes from the budget.
+    pub fn may_run_again(&self, host: &Host, admission: &Admission) -> bool {
+        admission.route.kind.is_repeatable()
+            && self.runs < admission.route.attempts
+            && self.sends < MOST_SENDS
+            && self.remaining(host).is_some()
+            && may_resend(host, &self.service)
+    }
+
+    /// Turns a refusal that says "not run" into one that does not, if the request may have run.
+    fn settle(&self, refusal: GatewayRefusal) -> GatewayRefusal {
+        if self.runs == 0 { refusal } else { GatewayRefusal::upstream_failed(refusal.reason) }
+    }
+}
+
+/// Waits for an upstream that can run the request now.
+///
+/// # Errors
+/// Fails if none comes in time, or the configuration no longer allows the request.
+pub async fn find_place(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    admission: &mut Admission,
+    journey: &Journey,
+) -> Result<FoundPlace, GatewayRefusal> {
+    let mut waiting: Option<WaitHold> = None;
+    let started = host.now();
+    loop {
+        let changed = host.holdings_changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        if let Some(place) = look(host, call, admission, journey)? {
+            if waiting.is_some() {
+                let waited = host.now().since(started);
+                host.metrics.model_wait.observe(waited.as_secs_f64());
+            }
+            return Ok(place);
+        }
+        let Some(left) = journey.remaining(host) else {
+            let reason =
+                if call.head.model.is_some() { "no_runner_holds_model" } else { "no_upstream" };
+            return Err(GatewayRefusal::not_run(reason, NO_PLACE_RETRY));
+        };
+        if let Some(choice) = &call.head.model
+            && waiting.is_none()
+        {
+            let worth = call.head.tokens.map_or(1_000, |(prompt, answer)| prompt.0 + 10 * answer.0);
+            let waiting_request = WaitingRequest {
+                service: journey.service.clone(),
+                choice: choice.clone(),
+                worth: u32::try_from(worth).unwrap_or(u32::MAX),
+            };
+            waiting = Some(WaitHold::new(host, waiting_request));
+        }
+        let _woken = timeout(LOOK_PAUSE.min(left), changed).await;
+    }
+}
+
+/// Looks once for an upstream.
+fn look(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    admission: &mut Admission,
+    journey: &Journey,
+) -> Result<Option<FoundPlace>, GatewayRefusal> {
+    let now = host.now();
+    let mut state = host.state();
+    // The configuration may have changed, or have gone out of sight, while the request waited.
+    *admission = admit(host, &state, call)?;
+    if state.crashes.is_quarantined(now, journey.fingerprint) {
+        return Err(GatewayRefusal::fixed(StatusCode::SERVICE_UNAVAILABLE, "crashes_upstreams"));
+    }
+    let choice = call.head.model.as_ref();
+    let candidates: Vec<RunnerCandidate> = state
+        .directory
+        .usable(&journey.service, now)
+        .filter(|(_, known)| choice.is_none_or(|choice| known.holds(choice, now)))
+        .map(|(name, known)| RunnerCandidate {
+            name: name.clone(),
+            near: known.entry.domain == host.settings.domain,
+            running: state.runs_at(name),
+            places: known.entry.places,
+            failing: known.is_failing(now),
+            tried: journey.tried.contains(name),
+        })
+        .collect();
+    let affinity = call.head.affinity.filter(|_| admission.route.sticky);
+    let Some(chosen) = choose_runner(&candidates, affinity, spread_of(call)) else {
+        return Ok(None);
+    };
+    let name = chosen.name.clone();
+    let Some(address) = state.directory.get(&name).map(|known| known.entry.address) else {
+        return Ok(None);
+    };
+    if !state.crashes.enter(now, journey.fingerprint, &name) {
+        return Ok(None);
+    }
+    let flight = FlightHold::new(host, journey.fingerprint, name.clone());
+    let hold = RunHold::new(host, &mut state, name.clone(), call.head.model.clone());
+    Ok(Some(FoundPlace { name, address, hold, flight }))
+}
+
+/// Sends the request to an upstream and waits for the head of the answer.
+pub async fn send(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    admission: &Admission,
+    journey: &mut Journey,
+    place: FoundPlace,
+) -> SendEnd {
+    let Some(remaining) = journey.remaining(host) else {
+        return SendEnd::NotRun(Duration::ZERO);
+    };
+    let priority = match (&admission.team, admission.route.priority) {
+        (Some((_, Some(own))), _) => *own,
+        (_, of_route) => of_route,
+    };
+    let head = SendHead {
+        upstream: &place.name,
+        remaining,
+        team: admission.team.as_ref().map(|(team, _)| team),
+        priority: call.head.model.as_ref().map(|_| priority),
+        last_event: journey.last_event.as_deref(),
+    };
+    let again = journey.runs + 1 < admission.route.attempts;
+    let head_timeout = match admission.route.kind {
+        CallKind::Repeatable if again => remaining.min(REPEATABLE_SILENCE),
+        CallKind::ResumableStream if again => remaining.min(RESUMABLE_SILENCE),
+        _ => remaining,
+    };
+    let sending = Exchange {
+        peer: place.address,
+        method: &call.method,
+        target: &call.target,
+        headers: (host.wire.send)(&call.headers, &head),
+        body: call.body.clone(),
+        head_timeout,
+    };
+    journey.sends += 1;
+    journey.tried.push(place.name.clone());
+    let sent = exchange(sending).await;
+    let end = classify(host, call, journey, place, sent);
+    let label = match &end {
+        SendEnd::Head(..) => "answered",
+        SendEnd::NotRun(_) => "not_run",
+        SendEnd::Broken(_) => "broken",
+    };
+    host.metrics.sends.with_label_values(&[label]).inc();
+    end
+}
+
+fn classify(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    journey: &mut Journey,
+    place: FoundPlace,
+    sent: Result<Response<Incoming>, ExchangeError>,
+) -> SendEnd {
+    let now = host.now();
+    let answer = match sent {
+        Ok(answer) => answer,
+        Err(error) => {
+            log_send(host, call, journey, &place.name, &error.to_string());
+            host.state().directory.note_failure(now, &place.name);
+            return match error {
+                ExchangeError::NotSent { .. } => SendEnd::NotRun(Duration::ZERO),
+                ExchangeError::Broken { .. } => {
+                    journey.runs += 1;
+                    report_break(host, place.flight, place.address);
+                    SendEnd::Broken("upstream_silent_or_reset")
+                }
+            };
+        }
+    };
+    let kind =
+        (host.wire.answer)(answer.status(), answer.headers(), &call.head.request, &place.name);
+    match kind {
+        AnswerKind::Run => SendEnd::Head(place, answer),
+        AnswerKind::NotRun => {
+            log_send(host, call, journey, &place.name, "did not run it");
+            SendEnd::NotRun(FULL_PAUSE)
+        }
+        AnswerKind::Absent => {
+            log_send(host, call, journey, &place.name, "does not hold the model");
+            if let Some(choice) = &call.head.model {
+                host.state().directory.note_miss(now, &place.name, choice.clone());
+            }
+            journey.tried.retain(|name| *name != place.name);
+            SendEnd::NotRun(Duration::ZERO)
+        }
+        AnswerKind::Stranger => {
+            log_send(host, call, journey, &place.name, "another upstream has its address");
+            host.state().directory.note_failure(now, &place.name);
+            SendEnd::NotRun(Duration::ZERO)
+        }
+        AnswerKind::Foreign(cause) => {
+            log_send(host, call, journey, &place.name, cause);
+            journey.runs += 1;
+            SendEnd::Broken("answer_foreign")
+        }
+    }
+}
+
+fn log_send(host: &Host, call: &GatewayCall, journey: &Journey, upstream: &UpstreamId, what: &str) {
+    spdlog::info!("send ended without an answer", kv: {
+        request = call.head.request.as_str(),
+        upstream = upstream.as_str(),
+        model = model_text(call.head.model.as_ref()).as_str(),
+        cause = what,
+        sends = journey.sends,
+        after_ms = host.now().since(call.arrived).as_millis() as u64,
+    });
+}
+
+/// Reads an answer whole; `None` if it breaks off.
+async fn finish_whole(
+    host: &Arc<Host>,
+    call: &GatewayCall,
+    journey: &mut Journey,
+    place: FoundPlace,
+    head: Response<Incoming>,
+) -> Option<Response<GatewayBody>> {
+    journey.runs += 1;
+    let span = journey.remaining(host).unwrap_or(LEAST_REMAINING);
+    match read_whole(place.address, head, span).await {
+        Ok((status, headers, body)) => {
+            place.flight.completed();
+            Some(whole_response(host, status, &headers, body))
+        }
+        Err(error) => {
+            log_send(host, call, journey, &place.name, &error.to_string());
+            report_break(host, place.flight, place.address);
+            None
+        }
+    }
+}
+
+fn whole_response(
+    host: &Host,
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Response<GatewayBody> {
+    let mut response = Response::new(GatewayBody::whole(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = (host.wire.relay)(headers);
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/keeper.rs
@@ -0,0 +1,484 @@
+//! The keeper: the one host that gives orders to runners, by a lease in the platform's table.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use dotterellane_decisions::keeper_lease::{KeeperLease, LeaseRow, LeaseStep};
+use dotterellane_decisions::rendezvous::role_order;
+use dotterellane_decisions::weight_plan::{
+    HostDemand, OrderOutcome, PlannedOrder, RunnerReport, WeightPlan,
+};
+use dotterellane_platform::{CommitOutcome, RowCondition, RowWrite, TableTransaction};
+use dotterellane_units::{
+    ClockInstant, FenceNumber, HostId, HostIncarnation, RowVersion, ServiceId, UpstreamId,
+};
+use tokio::time::{sleep, timeout};
+
+use crate::call::{OrderIssuer, RunnerCall};
+use crate::document::RoutingDocument;
+use crate::exchange::{Exchange, ExchangeError, exchange, read_whole};
+use crate::messages::{KeeperMark, PeerNote, RunnerHoldings};
+use crate::peers::{send_beat, send_to_all};
+use crate::state::{Host, KnownKeeper};
+
+/// Key of the lease's row.
+const LEASE_KEY: &str = "keeper/lease";
+
+/// Time without a beat of the keeper after which the first candidate looks at the lease.
+const KEEPER_SILENCE: Duration = Duration::from_millis(700);
+
+/// Further silence for each candidate that comes before.
+const CANDIDATE_STEP: Duration = Duration::from_millis(600);
+
+/// Time after the start in which a host only listens for a keeper.
+const START_SILENCE: Duration = Duration::from_millis(350);
+
+/// Pause between two looks at what to do about the lease.
+const LEASE_LOOK: Duration = Duration::from_millis(100);
+
+/// Longest pause between two looks at the plan.
+const PLAN_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause between two looks at the plan while loads are under way or requests wait.
+const BUSY_PLAN_PAUSE: Duration = Duration::from_millis(60);
+
+/// Time within which a runner answers an order or a question.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Time after which all that runners hold is told again.
+const REPEAT_PAUSE: Duration = Duration::from_secs(1);
+
+/// Least time between two questions to one runner.
+const QUESTION_PAUSE: Duration = Duration::from_millis(300);
+
+/// What this host knows as keeper or candidate.
+#[derive(Debug)]
+pub struct KeeperDesk {
+    lease: KeeperLease,
+    plans: BTreeMap<ServiceId, WeightPlan>,
+    announced: BTreeMap<UpstreamId, RunnerHoldings>,
+    repeated: ClockInstant,
+    asked: BTreeMap<UpstreamId, ClockInstant>,
+    keeping: bool,
+}
+
+/// The desk of a host; locked only between two waits, never while the host's state is.
+#[derive(Debug)]
+pub struct SharedDesk(Mutex<KeeperDesk>);
+
+impl SharedDesk {
+    /// Returns the desk of a host that does not keep.
+    pub fn new(own: HostId, incarnation: HostIncarnation, gap: Duration) -> Self {
+        Self(Mutex::new(KeeperDesk {
+            lease: KeeperLease::new(own, incarnation, gap),
+            plans: BTreeMap::new(),
+            announced: BTreeMap::new(),
+            repeated: ClockInstant::default(),
+            asked: BTreeMap::new(),
+            keeping: false,
+        }))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, KeeperDesk> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the mark that beats carry while this host holds the lease.
+pub fn mark(host: &Host) -> Option<KeeperMark> {
+    let (fence, row) = host.desk.lock().lease.held(host.now())?;
+    Some(KeeperMark { fence, row })
+}
+
+/// Takes in the mark of another host's beat.
+pub fn on_mark(host: &Host, mark: KeeperMark) {
+    host.desk.lock().lease.on_mark(host.now(), mark.fence, mark.row);
+}
+
+/// Tells whether this host waits for a load to end.
+pub fn is_loading(host: &Host) -> bool {
+    let desk = host.desk.lock();
+    desk.keeping && desk.plans.values().any(WeightPlan::is_loading)
+}
+
+/// Takes in what a host asks for.
+pub fn on_demand(host: &Host, from: &HostId, demands: Vec<(ServiceId, HostDemand)>) {
+    let now = host.now();
+    let mut desk = host.desk.lock();
+    if !desk.keeping {
+        return;
+    }
+    for (service, plan) in &mut desk.plans {
+        let demand = demands.iter().find(|(of, _)| of == service);
+        plan.on_demand(
+            now,
+            from.clone(),
+            demand.map(|(_, demand)| demand.clone()).unwrap_or_default(),
+        );
+    }
+    drop(desk);
+    host.plan_wanted.notify_one();
+}
+
+/// Takes in what the keeper says that runners hold.
+pub fn adopt_holdings(host: &Host, fence: FenceNumber, holdings: Vec<RunnerHoldings>) {
+    let now = host.now();
+    let mut state = host.state();
+    if state.keeper.as_ref().is_some_and(|keeper| keeper.mark.fence > fence) {
+        return;
+    }
+    for RunnerHoldings { runner, born, held } in holdings {
+        state.directory.set_held(now, &runner, born, held);
+    }
+    drop(state);
+    host.holdings_changed.notify_waiters();
+}
+
+/// Takes in a new configuration.
+pub fn on_document(host: &Host, document: &RoutingDocument) {
+    let mut desk = host.desk.lock();
+    if desk.keeping {
+        set_facts(&mut desk, document, host.now());
+    }
+}
+
+fn set_facts(desk: &mut KeeperDesk, document: &RoutingDocument, now: ClockInstant) {
+    let with_models =
+        |service: &ServiceId| document.services.get(service).and_then(|entry| entry.models.clone());
+    desk.plans.retain(|service, _| with_models(service).is_some());
+    for service in document.services.keys() {
+        let Some(facts) = with_models(service) else { continue };
+        match desk.plans.get_mut(service) {
+            Some(plan) => plan.set_facts(facts),
+            None => {
+                desk.plans.insert(service.clone(), WeightPlan::after_takeover(now, facts));
+            }
+        }
+    }
+}
+
+/// Takes in the directory after it changed.
+pub fn on_directory(host: &Host) {
+    let now = host.now();
+    let mut reports: BTreeMap<ServiceId, Vec<(UpstreamId, RunnerReport)>> = BTreeMap::new();
+    {
+        let state = host.state();
+        for (name, known) in state.directory.iter() {
+            let entry = (name.clone(), known.entry.report.clone());
+            reports.entry(known.entry.service.clone()).or_default().push(entry);
+        }
+    }
+    let mut desk = host.desk.lock();
+    if !desk.keeping {
+        return;
+    }
+    for (service, plan) in &mut desk.plans {
+        let reports = reports.remove(service).unwrap_or_default();
+        plan.retain_runners(|runner| reports.iter().any(|(name, _)| name == runner));
+        for (name, report) in reports {
+            plan.on_report(now, &name, report);
+        }
+    }
+    drop(desk);
+    host.plan_wanted.notify_one();
+}
+
+/// Holds the lease or watches it, until the daemon ends.
+pub async fn keep_lease(host: Arc<Host>) {
+    let began = host.now();
+    loop {
+        let step = lease_step(&host, began);
+        match step {
+            None => sleep(LEASE_LOOK).await,
+            Some(LeaseStep::Wait(span)) => sleep(span.min(LEASE_LOOK)).await,
+            Some(LeaseStep::Read) => read_lease(&host).await,
+            Some(LeaseStep::Write { expected, row }) => {
+                write_lease(&host, expected, row).await;
+            }
+        }
+    }
+}
+
+/// Returns what to do about the lease, `None` if this host is not the one to do anything now.
+fn lease_step(host: &Host, began: ClockInstant) -> Option<LeaseStep> {
+    let now = host.now();
+    if host.leaving.is_cancelled() {
+        return None;
+    }
+    let mut desk = host.desk.lock();
+    let holds = desk.lease.held(now).is_some();
+    if !holds && desk.keeping {
+        spdlog::warn!("keeper's lease ran out", kv: { host = host.settings.host.as_str() });
+        desk.keeping = false;
+        desk.plans.clear();
+        desk.announced.clear();
+    }
+    if !holds {
+        let state = host.state();
+        let silence = match &state.keeper {
+            Some(keeper) if keeper.host != host.settings.host => now.since(keeper.heard),
+            _ => now.since(began).saturating_sub(START_SILENCE) + KEEPER_SILENCE,
+        };
+        let live = state.peers.iter().filter(|(_, peer)| now.since(peer.heard) < KEEPER_SILENCE);
+        let hosts: Vec<&HostId> = live.map(|(name, _)| name).chain([&host.settings.host]).collect();
+        let order = role_order("keeper", "", hosts);
+        let rank = order.iter().position(|name| **name == host.settings.host).unwrap_or(0);
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        if silence < KEEPER_SILENCE + CANDIDATE_STEP.saturating_mul(rank)
+            || now.since(began) < START_SILENCE
+        {
+            return None;
+        }
+    }
+    Some(desk.lease.next_step(now))
+}
+
+async fn read_lease(host: &Host) {
+    let started = host.now();
+    let read = host.platform.table.read(vec![LEASE_KEY.to_owned()]).await;
+    let label = if read.is_ok() { "ok" } else { "failed" };
+    host.metrics.store_calls.with_label_values(&["read_lease", label]).inc();
+    match read {
+        Ok(rows) => {
+            let row = rows.first();
+            let version = row.map_or(RowVersion(0), |row| row.version);
+            let content = row.and_then(|row| postcard::from_bytes::<LeaseRow>(&row.value).ok());
+            host.desk.lock().lease.on_row(started, version, content);
+        }
+        Err(error) => {
+            spdlog::warn!("keeper's lease cannot be read", kv: {
+                cause = error.to_string().as_str(),
+            });
+            sleep(LEASE_LOOK * 3).await;
+        }
+    }
+}
+
+async fn write_lease(host: &Arc<Host>, expected: RowVersion, row: LeaseRow) {
+    let started = host.now();
+    match commit_lease(host, expected, &row).await {
+        Ok(Some(version)) => {
+            let first = {
+                let mut desk = host.desk.lock();
+                desk.lease.on_written(started, version, row.clone());
+                !std::mem::replace(&mut desk.keeping, true)
+            };
+            if first {
+                take_over(host, &row, version);
+            }
+        }
+        Ok(None) => host.desk.lock().lease.on_write_failed(),
+        Err(cause) => {
+            host.desk.lock().lease.on_write_failed();
+            spdlog::warn!("keeper's lease cannot be written", kv: { cause = cause.as_str() });
+            sleep(LEASE_LOOK).await;
+        }
+    }
+}
+
+/// Writes the lease's row; `None` if another version is there.
+async fn commit_lease(
+    host: &Host,
+    expected: RowVersion,
+    row: &LeaseRow,
+) -> Result<Option<RowVersion>, String> {
+    let value = postcard::to_stdvec(row).map_err(|error| error.to_string())?;
+    let transaction = TableTransaction {
+        conditions: vec![RowCondition { key: LEASE_KEY.to_owned(), version: expected }],
+        writes: vec![RowWrite { key: LEASE_KEY.to_owned(), value: Some(value) }],
+    };
+    let committed = host.platform.table.commit(transaction).await;
+    let label = if committed.is_ok() { "ok" } else { "failed" };
+    host.metrics.store_calls.with_label_values(&["write_lease", label]).inc();
+    match committed {
+        Ok(CommitOutcome::Committed(versions)) => Ok(versions.first().copied()),
+        Ok(CommitOutcome::Conflict(_)) => Ok(None),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+fn take_over(host: &Arc<Host>, row: &LeaseRow, version: RowVersion) {
+    spdlog::info!("keeper's lease taken", kv: { fence = row.fence.0, version = version.0 });
+    let now = host.now();
+    let document = {
+        let mut state = host.state();
+        let mark = KeeperMark { fence: row.fence, row: version };
+        state.keeper = Some(KnownKeeper { host: host.settings.host.clone(), mark, heard: now });
+        state.document.clone()
+    };
+    if let Some(document) = document {
+        set_facts(&mut host.desk.lock(), &document, now);
+    }
+    on_directory(host);
+    send_beat(host, false);
+    host.demand_changed.notify_one();
+}
+
+/// Gives the lease back when the daemon leaves.
+pub async fn release(host: &Host) {
+    let released = {
+        let mut desk = host.desk.lock();
+        desk.keeping = false;
+        desk.plans.clear();
+        desk.lease.release()
+    };
+    if let Some((version, row)) = released {
+        match commit_lease(host, version, &row).await {
+            Ok(_) => spdlog::info!("keeper's lease given back", kv: { fence = row.fence.0 }),
+            Err(cause) => spdlog::warn!("keeper's lease cannot be given back", kv: {
+                cause = cause.as_str(),
+            }),
+        }
+    }
+}
+
+/// Gives the orders of the plans while this host holds the lease.
+pub async fn carry_out_plans(host: Arc<Host>) {
+    loop {
+        let now = host.now();
+        let mut due = Vec::new();
+        let mut pause = PLAN_PAUSE;
+        {
+            let mut desk = host.desk.lock();
+            if desk.keeping {
+                let fence = desk.lease.may_order(now);
+                for plan in desk.plans.values_mut() {
+                    if let Some(fence) = fence {
+                        due.extend(plan.next_orders(now).into_iter().map(|order| (order, fence)));
+                    }
+                    if plan.is_loading() {
+                        pause = BUSY_PLAN_PAUSE;
+                    }
+                    if let Some(ready) = plan.next_ready(now) {
+                        pause = pause.min(ready.since(now) + Duration::from_millis(1));
+                    }
+                }
+            }
+        }
+        for (order, fence) in due {
+            tokio::spawn(give_order(host.clone(), order, fence));
+        }
+        ask_doubtful(&host, now);
+        announce(&host, now);
+        let _woken = timeout(pause, host.plan_wanted.notified()).await;
+    }
+}
+
+async fn give_order(host: Arc<Host>, order: PlannedOrder, fence: FenceNumber) {
+    let issuer = OrderIssuer { host: &host.settings.host, fence };
+    let call = (host.wire.order)(&order, &issuer);
+    let started = host.now();
+    let outcome = match call_runner(&host, &order.runner, &call).await {
+        Some(Ok((status, _))) => (host.wire.order_outcome)(status),
+        Some(Err(ExchangeError::NotSent { .. })) => OrderOutcome::Busy,
+        Some(Err(ExchangeError::Broken { .. })) => OrderOutcome::Unanswered,
+        None => OrderOutcome::Refused,
+    };
+    let now = host.now();
+    let (kind, tier) = (format!("{:?}", order.kind), format!("{:?}", order.tier));
+    let adapter = order.adapter.as_ref().map_or("", |adapter| adapter.as_str());
+    spdlog::info!("order to runner", kv: {
+        runner = order.runner.as_str(),
+        kind = kind.as_str(),
+        model = order.model.as_str(),
+        adapter = adapter,
+        tier = tier.as_str(),
+        expected = order.expected_sequence,
+        fence = fence.0,
+        outcome = format!("{outcome:?}").as_str(),
+        after_ms = now.since(started).as_millis() as u64,
+    });
+    let labels = [kind.as_str(), tier.as_str(), &format!("{outcome:?}")];
+    host.metrics.orders.with_label_values(&labels).inc();
+    let mut desk = host.desk.lock();
+    for plan in desk.plans.values_mut() {
+        plan.on_outcome(now, &order, outcome);
+    }
+    drop(desk);
+    host.plan_wanted.notify_one();
+}
+
+/// Calls a runner on the fleet's own behalf; `None` if it is not known.
+async fn call_runner(
+    host: &Host,
+    runner: &UpstreamId,
+    call: &RunnerCall,
+) -> Option<Result<(http::StatusCode, bytes::Bytes), ExchangeError>> {
+    let peer = host.state().directory.get(runner).map(|known| known.entry.address)?;
+    let sending = Exchange {
+        peer,
+        method: &call.method,
+        target: call.path,
+        headers: call.headers.clone(),
+        body: call.body.clone().into(),
+        head_timeout: ORDER_TIMEOUT,
+    };
+    let answered = async {
+        let head = exchange(sending).await?;
+        read_whole(peer, head, ORDER_TIMEOUT).await
+    };
+    Some(answered.await.map(|(status, _, body)| (status, body)))
+}
+
+fn ask_doubtful(host: &Arc<Host>, now: ClockInstant) {
+    let mut desk = host.desk.lock();
+    if !desk.keeping {
+        return;
+    }
+    let doubtful: Vec<UpstreamId> =
+        desk.plans.values().flat_map(|plan| plan.doubtful(now)).collect();
+    for runner in doubtful {
+        let recent = desk.asked.get(&runner).is_some_and(|at| now.since(*at) < QUESTION_PAUSE);
+        if !recent {
+            desk.asked.insert(runner.clone(), now);
+            tokio::spawn(ask_runner(host.clone(), runner));
+        }
+    }
+}
+
+async fn ask_runner(host: Arc<Host>, runner: UpstreamId) {
+    let call = (host.wire.report_call)(&runner);
+    let Some(Ok((status, body))) = call_runner(&host, &runner, &call).await else { return };
+    if !status.is_success() {
+        return;
+    }
+    match (host.wire.report)(&body) {
+        Ok(report) => {
+            let now = host.now();
+            let mut desk = host.desk.lock();
+            for plan in desk.plans.values_mut().filter(|plan| plan.knows(&runner)) {
+                plan.on_report(now, &runner, report.clone());
+            }
+            drop(desk);
+            host.plan_wanted.notify_one();
+        }
+        Err(error) => spdlog::warn!("report of runner cannot be read", kv: {
+            runner = runner.as_str(),
+            cause = error.to_string().as_str(),
+        }),
+    }
+}
+
+/// Tells all hosts what runners hold: what changed at once, all of it now and then.
+fn announce(host: &Host, now: ClockInstant) {
+    let (fence, changed) = {
+        let mut desk = host.desk.lock();
+        let Some((fence, _)) = desk.lease.held(now).filter(|_| desk.keeping) else { return };
+        let all = desk.plans.values().flat_map(|plan| plan.holdings(now));
+        let all = all.map(|(runner, born, held)| RunnerHoldings { runner, born, held });
+        let all: Vec<RunnerHoldings> = all.collect();
+        let mut changed = all.clone();
+        if now.since(desk.repeated) < REPEAT_PAUSE {
+            changed.retain(|holding| desk.announced.get(&holding.runner) != Some(holding));
+        } else {
+            desk.repeated = now;
+        }
+        desk.announced = all.into_iter().map(|holding| (holding.runner.clone(), holding)).collect();
+        (fence, changed)
+    };
+    if !changed.is_empty() {
+        send_to_all(host, &PeerNote::Holdings(fence, changed.clone()));
+        adopt_holdings(host, fence, changed);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/messages.rs
@@ -0,0 +1,74 @@
+//! Datagrams between daemons.
+
+use std::net::SocketAddr;
+
+use dotterellane_decisions::quarantine::CrashReport;
+use dotterellane_decisions::team_levels::TeamSpending;
+use dotterellane_decisions::weight_plan::{HeldModel, HostDemand};
+use dotterellane_units::{FenceNumber, HostId, HostIncarnation, RowVersion, ServiceId, UpstreamId};
+use serde::{Deserialize, Serialize};
+
+/// Longest datagram, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 60_000;
+
+/// A datagram: who sent it and what it says.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct PeerDatagram {
+    /// Host that sent it.
+    pub from: HostId,
+    /// Incarnation of its daemon.
+    pub incarnation: HostIncarnation,
+    /// What it says.
+    pub note: PeerNote,
+}
+
+/// What a daemon says to others.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum PeerNote {
+    /// Sent to everyone, several times a second.
+    Beat(HostBeat),
+    /// Sent to the keeper.
+    Demand(Vec<(ServiceId, HostDemand)>),
+    /// Sent by the keeper when what runners hold changes.
+    Holdings(FenceNumber, Vec<RunnerHoldings>),
+    /// A request crashed an upstream.
+    Crash(CrashReport),
+}
+
+/// Signs of life and what the host spent.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct HostBeat {
+    /// Whether the host leaves now.
+    pub leaving: bool,
+    /// What it spent, by team.
+    pub spending: Vec<TeamSpending>,
+    /// The keeper's lease, if it holds it.
+    pub keeper: Option<KeeperMark>,
+    /// Other daemons that it hears; sent now and then.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// The lease of the keeper.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct KeeperMark {
+    /// Fencing number.
+    pub fence: FenceNumber,
+    /// Version of the lease's row when it was last renewed.
+    pub row: RowVersion,
+}
+
+/// What a runner holds, as its keeper knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct RunnerHoldings {
+    /// Runner.
+    pub runner: UpstreamId,
+    /// Start of the runner, in milliseconds.
+    pub born: u64,
+    /// Models that are ready.
+    pub held: Vec<HeldModel>,
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,272 @@
+//! Datagrams to and from the other daemons.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterellane_decisions::team_levels::PEER_MEMORY;
+use dotterellane_platform::{RowWrite, TableTransaction};
+use dotterellane_units::HostId;
+use tokio::time::{sleep, timeout};
+
+use crate::crashes;
+use crate::keeper;
+use crate::messages::{HostBeat, MAX_DATAGRAM_BYTES, PeerDatagram, PeerNote};
+use crate::state::{Host, KnownKeeper, KnownPeer};
+
+/// Longest time between two beats.
+const BEAT_PAUSE: Duration = Duration::from_millis(250);
+
+/// Least time between two beats.
+const LEAST_BEAT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Beats between two that name the peers and go to the seeds as well.
+const INTRODUCTION_BEATS: u32 = 8;
+
+/// Least time between two reports of demand.
+const LEAST_DEMAND_PAUSE: Duration = Duration::from_millis(15);
+
+/// Time between two reports of demand while requests wait or run.
+const DEMAND_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause before the list of hosts is asked for again after the store did not give it.
+const LISTING_PAUSE: Duration = Duration::from_secs(2);
+
+/// Prefix of the rows that tell where daemons receive.
+const HOST_ROWS: &str = "hosts/";
+
+/// Sends a note to every peer.
+pub fn send_to_all(host: &Host, note: &PeerNote) {
+    let addresses: Vec<SocketAddr> = {
+        let state = host.state();
+        state.peers.values().map(|peer| peer.address).collect()
+    };
+    send_to(host, note, &addresses);
+}
+
+/// Sends a note to one host, if it is known.
+pub fn send_to_host(host: &Host, name: &HostId, note: &PeerNote) {
+    let address = host.state().peers.get(name).map(|peer| peer.address);
+    if let Some(address) = address {
+        send_to(host, note, &[address]);
+    }
+}
+
+fn send_to(host: &Host, note: &PeerNote, addresses: &[SocketAddr]) {
+    if addresses.is_empty() {
+        return;
+    }
+    let datagram = PeerDatagram {
+        from: host.settings.host.clone(),
+        incarnation: host.incarnation,
+        note: note.clone(),
+    };
+    let bytes = match postcard::to_stdvec(&datagram) {
+        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
+        Ok(bytes) => {
+            spdlog::error!("datagram is too long", kv: { bytes = bytes.len() });
+            return;
+        }
+        Err(error) => {
+            spdlog::error!("datagram cannot be built", kv: { cause = error.to_string().as_str() });
+            return;
+        }
+    };
+    for address in addresses {
+        let label = match host.socket.try_send_to(&bytes, *address) {
+            Ok(_) => "sent",
+            // Datagrams may be lost anyway; the next beat makes up for it.
+            Err(_) => "failed",
+        };
+        host.metrics.datagrams.with_label_values(&[label]).inc();
+        let length = u64::try_from(bytes.len()).unwrap_or(0);
+        host.metrics.datagram_bytes.with_label_values(&[label]).inc_by(length);
+    }
+}
+
+/// Sends beats until the daemon ends.
+pub async fn send_beats(host: Arc<Host>) {
+    let mut count: u32 = 0;
+    loop {
+        let introducing = count.is_multiple_of(INTRODUCTION_BEATS);
+        send_beat(&host, introducing);
+        count = count.wrapping_add(1);
+        sleep(LEAST_BEAT_PAUSE).await;
+        let pause = BEAT_PAUSE - LEAST_BEAT_PAUSE;
+        let _woken = timeout(pause, host.spending_changed.notified()).await;
+    }
+}
+
+/// Sends one beat now; one that introduces names the peers and goes to the seeds too.
+pub fn send_beat(host: &Host, introducing: bool) {
+    let now = host.now();
+    let keeper = keeper::mark(host);
+    let mut state = host.state();
+    state.peers.retain(|_, peer| now.since(peer.heard) < PEER_MEMORY);
+    state.unreported = false;
+    let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
+    let beat = HostBeat {
+        leaving: host.leaving.is_cancelled(),
+        spending: state.levels.report(now),
+        keeper,
+        peers: if introducing { known.iter().copied().collect() } else { Vec::new() },
+    };
+    drop(state);
+    let mut addresses = known;
+    if introducing {
+        addresses.extend(host.settings.seeds.iter().copied());
+        addresses.remove(&host.settings.peers);
+    }
+    let addresses: Vec<SocketAddr> = addresses.into_iter().collect();
+    send_to(host, &PeerNote::Beat(beat), &addresses);
+}
+
+/// Receives datagrams until the daemon ends.
+pub async fn receive(host: Arc<Host>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, source) = match host.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            // It is about an earlier datagram of ours, such as a closed port.
+            Err(_) => {
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        host.metrics.datagrams.with_label_values(&["received"]).inc();
+        match postcard::from_bytes::<PeerDatagram>(&buffer[..length]) {
+            Ok(datagram) => accept(&host, source, datagram),
+            Err(error) => spdlog::warn!("datagram cannot be read", kv: {
+                peer = source.to_string().as_str(),
+                cause = error.to_string().as_str(),
+            }),
+        }
+    }
+}
+
+fn accept(host: &Arc<Host>, source: SocketAddr, datagram: PeerDatagram) {
+    let PeerDatagram { from, incarnation, note } = datagram;
+    if from == host.settings.host {
+        return;
+    }
+    let now = host.now();
+    let mut state = host.state();
+    let known = state.peers.get(&from);
+    let stranger = known.is_none_or(|known| known.incarnation != incarnation);
+    state.peers.insert(from.clone(), KnownPeer { address: source, incarnation, heard: now });
+    drop(state);
+    if stranger {
+        spdlog::info!("peer appeared", kv: {
+            peer = from.as_str(),
+            address = source.to_string().as_str(),
+        });
+        send_beat(host, true);
+    }
+    match note {
+        PeerNote::Beat(beat) => accept_beat(host, &from, incarnation, beat),
+        PeerNote::Demand(demands) => keeper::on_demand(host, &from, demands),
+        PeerNote::Holdings(fence, holdings) => keeper::adopt_holdings(host, fence, holdings),
+        PeerNote::Crash(report) => crashes::absorb(host, &report),
+    }
+}
+
+fn accept_beat(
+    host: &Arc<Host>,
+    from: &HostId,
+    incarnation: dotterellane_units::HostIncarnation,
+    beat: HostBeat,
+) {
+    let now = host.now();
+    let mut state = host.state();
+    state.levels.absorb(now, from, incarnation, &beat.spending);
+    if let Some(mark) = beat.keeper {
+        let newer = state.keeper.as_ref().is_none_or(|known| known.mark.fence <= mark.fence);
+        if newer {
+            state.keeper = Some(KnownKeeper { host: from.clone(), mark, heard: now });
+        }
+    }
+    if beat.leaving {
+        state.peers.remove(from);
+        state.levels.forget(from);
+    }
+    let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
+    drop(state);
+    if let Some(mark) = beat.keeper {
+        keeper::on_mark(host, mark);
+    }
+    let strangers: Vec<SocketAddr> = beat
+        .peers
+        .into_iter()
+        .filter(|address| !known.contains(address) && *address != host.settings.peers)
+        .collect();
+    if !strangers.is_empty() && !beat.leaving {
+        let greeting = HostBeat::default();
+        send_to(host, &PeerNote::Beat(greeting), &strangers);
+    }
+}
+
+/// Tells the keeper what waits and runs here, until the daemon ends.
+pub async fn send_demand(host: Arc<Host>) {
+    let mut busy = false;
+    loop {
+        if busy {
+            let _woken = timeout(DEMAND_PAUSE, host.demand_changed.notified()).await;
+        } else {
+            host.demand_changed.notified().await;
+        }
+        let (keeper, demands) = {
+            let mut state = host.state();
+            let keeper = state.keeper.as_ref().map(|keeper| keeper.host.clone());
+            (keeper, state.take_demand())
+        };
+        busy = !demands.is_empty();
+        match keeper {
+            Some(keeper) if keeper == host.settings.host => {
+                keeper::on_demand(&host, &keeper, demands);
+            }
+            Some(keeper) => send_to_host(&host, &keeper, &PeerNote::Demand(demands)),
+            None => {}
+        }
+        sleep(LEAST_DEMAND_PAUSE).await;
+    }
+}
+
+/// Lists this host in the fleet's table, and greets the hosts that are listed there.
+pub async fn list_host(host: Arc<Host>) {
+    let address = host.settings.peers.to_string();
+    let row = RowWrite {
+        key: format!("{HOST_ROWS}{}", host.settings.host),
+        value: Some(address.clone().into_bytes()),
+    };
+    let mut listed = false;
+    loop {
+        if !listed {
+            let transaction =
+                TableTransaction { conditions: Vec::new(), writes: vec![row.clone()] };
+            match host.platform.table.commit(transaction).await {
+                Ok(_) => listed = true,
+                Err(error) => log_failure("list host", &error.to_string()),
+            }
+        }
+        match host.platform.table.scan(HOST_ROWS).await {
+            Ok(rows) => {
+                let addresses = rows.iter().filter_map(|row| {
+                    std::str::from_utf8(&row.value).ok()?.parse::<SocketAddr>().ok()
+                });
+                let addresses: Vec<SocketAddr> =
+                    addresses.filter(|known| *known != host.settings.peers).collect();
+                send_to(&host, &PeerNote::Beat(HostBeat::default()), &addresses);
+                if listed {
+                    return;
+                }
+            }
+            Err(error) => log_failure("read hosts", &error.to_string()),
+        }
+        sleep(LISTING_PAUSE).await;
+    }
+}
+
+fn log_failure(step: &str, cause: &str) {
+    spdlog::warn!("store did not answer", kv: { step = step, cause = cause });
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,150 @@
+//! The daemon from its start to its end.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use dotterellane_units::{HostIncarnation, boot_clock};
+use thiserror::Error;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{sleep, timeout};
+
+use crate::call::WireFormat;
+use crate::settings::HostSettings;
+use crate::state::{Host, HostPlatform};
+use crate::{followers, keeper, peers, server};
+
+/// Time that the balancer may go on to send callers after it was told that the host leaves.
+const BALANCER_LAG: Duration = Duration::from_millis(2_600);
+
+/// Time before the end of the shutdown at which what still runs is left.
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
+
+/// Pause between two looks at whether the settings file changed.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
+/// Why the daemon could not start.
+#[derive(Debug)]
+#[derive(Error)]
+pub enum RunError {
+    /// A socket or signal cannot be used.
+    #[error("{step}: {cause}")]
+    Start {
+        /// What was being done.
+        step: &'static str,
+        /// What was seen.
+        cause: String,
+    },
+}
+
+fn start_error<E>(step: &'static str) -> impl FnOnce(E) -> RunError
+where
+    E: ToString,
+{
+    move |error| RunError::Start { step, cause: error.to_string() }
+}
+
+/// Serves until the process is asked to stop, then until what runs is done.
+///
+/// # Errors
+/// Fails if a socket cannot be bound or signals cannot be received.
+pub async fn run(
+    settings: HostSettings,
+    settings_file: PathBuf,
+    wire: WireFormat,
+    platform: HostPlatform,
+) -> Result<(), RunError> {
+    let clock = boot_clock();
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = HostIncarnation(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX));
+    let mut stop = signal(SignalKind::terminate()).map_err(start_error("await SIGTERM"))?;
+    let hang_up = signal(SignalKind::hangup()).map_err(start_error("await SIGHUP"))?;
+    let callers = server::listen("listen for callers", settings.callers)
+        .await
+        .map_err(start_error("start"))?;
+    let status = server::listen("listen for the balancer", settings.readiness)
+        .await
+        .map_err(start_error("start"))?;
+    let metrics = server::listen("listen for readers of metrics", settings.metrics)
+        .await
+        .map_err(start_error("start"))?;
+    let socket =
+        UdpSocket::bind(settings.peers).await.map_err(start_error("bind socket of peers"))?;
+    let grace = settings.shutdown;
+    let host = Host::new(settings, incarnation, wire, platform, clock, socket)
+        .map_err(start_error("register metrics"))?;
+    let host = Arc::new(host);
+    spdlog::info!("daemon started", kv: {
+        host = host.settings.host.as_str(),
+        incarnation = incarnation.0,
+        callers = host.settings.callers.to_string().as_str(),
+        first_start = host.settings.first_start,
+    });
+    tokio::spawn(followers::follow_configuration(host.clone()));
+    tokio::spawn(followers::follow_directory(host.clone()));
+    tokio::spawn(peers::receive(host.clone()));
+    tokio::spawn(peers::send_beats(host.clone()));
+    tokio::spawn(peers::send_demand(host.clone()));
+    tokio::spawn(peers::list_host(host.clone()));
+    tokio::spawn(keeper::keep_lease(host.clone()));
+    tokio::spawn(keeper::carry_out_plans(host.clone()));
+    tokio::spawn(server::serve_status(status, host.clone()));
+    tokio::spawn(server::serve_status(metrics, host.clone()));
+    tokio::spawn(server::serve_callers(callers, host.clone()));
+    tokio::spawn(watch_settings(host.clone(), settings_file, hang_up));
+    stop.recv().await;
+    leave(&host, grace).await;
+    Ok(())
+}
+
+async fn leave(host: &Arc<Host>, grace: Duration) {
+    spdlog::info!("daemon is asked to stop", kv: { host = host.settings.host.as_str() });
+    let started = host.now();
+    host.leaving.cancel();
+    peers::send_beat(host, false);
+    keeper::release(host).await;
+    let lag = BALANCER_LAG.saturating_sub(host.now().since(started));
+    sleep(lag).await;
+    host.closing.cancel();
+    host.tasks.close();
+    let left = grace.saturating_sub(host.now().since(started)).saturating_sub(SHUTDOWN_MARGIN);
+    let whole = timeout(left, host.tasks.wait()).await.is_ok();
+    spdlog::info!("daemon stops", kv: {
+        host = host.settings.host.as_str(),
+        all_answered = whole,
+        after_ms = host.now().since(started).as_millis() as u64,
+    });
+    // Lets the last lines out.
+    sleep(Duration::from_millis(20)).await;
+}
+
+/// Reads the settings file again after SIGHUP or when it changed, and says what came of it.
+async fn watch_settings(host: Arc<Host>, file: PathBuf, mut hang_up: tokio::signal::unix::Signal) {
+    let mut known = std::fs::read_to_string(&file).ok();
+    loop {
+        let told = timeout(SETTINGS_LOOK, hang_up.recv()).await.is_ok();
+        let text = match std::fs::read_to_string(&file) {
+            Ok(text) => text,
+            Err(error) => {
+                spdlog::error!("settings cannot be read; the last ones stay", kv: {
+                    cause = error.to_string().as_str(),
+                });
+                continue;
+            }
+        };
+        if !told && known.as_deref() == Some(text.as_str()) {
+            continue;
+        }
+        match (host.wire.settings)(&text) {
+            Ok(settings) => {
+                let changed = settings != host.settings;
+                spdlog::info!("settings read again", kv: { changed = changed });
+            }
+            Err(error) => spdlog::error!("settings are not valid; the last ones stay", kv: {
+                cause = error.to_string().as_str(),
+            }),
+        }
+        known = Some(text);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,129 @@
+//! The servers that callers, the balancer and operators connect to.
+
+use std::convert::Infallible;
+use std::io;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dotterellane_upstream::connect::bound_silence;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::answer::answer;
+use crate::state::Host;
+
+/// Pause after the system refused to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Read buffer of a connection, in bytes, which also bounds the head of a request.
+const HEAD_BYTES: usize = 32 * 1024;
+
+/// Time that a caller's connection may be idle before a configuration names one.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// Serves callers until connections are to be closed.
+pub async fn serve_callers(listener: TcpListener, host: Arc<Host>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = host.closing.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let serving = serve_caller(stream, host.clone());
+                host.tasks.spawn(serving);
+            }
+            Err(error) => {
+                spdlog::warn!("accept failed", kv: { cause = error.to_string().as_str() });
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(stream: TcpStream, host: Arc<Host>) {
+    if bound_silence(&stream).is_err() {
+        return;
+    }
+    let idle = host.state().document.as_ref().map(|document| document.limits.idle_timeout);
+    let service = service_fn(|request: Request<Incoming>| {
+        // The connection keeps this future for its life; what it needs until the answer must not stay.
+        let answering = Box::pin(answer(host.clone(), request));
+        async move { Ok::<_, Infallible>(answering.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library counts idle time as part of the next head.
+        .header_read_timeout(idle.unwrap_or(DEFAULT_IDLE))
+        .max_buf_size(HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    // A connection that breaks is its caller's matter; holds are released by their drop.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = host.closing.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+/// Answers the balancer's question whether this host takes callers, and serves metrics.
+pub async fn serve_status(listener: TcpListener, host: Arc<Host>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_question(stream, host.clone()));
+            }
+            Err(error) => {
+                spdlog::warn!("accept failed", kv: { cause = error.to_string().as_str() });
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_question(stream: TcpStream, host: Arc<Host>) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let response = status_answer(&host, request.uri().path());
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(DEFAULT_IDLE)
+        .serve_connection(TokioIo::new(stream), service);
+    // The balancer asks again by itself.
+    let _ = connection.await;
+}
+
+fn status_answer(host: &Host, path: &str) -> Response<Full<Bytes>> {
+    let (status, body) = match path {
+        "/metrics" => (StatusCode::OK, Bytes::from(host.metrics.render())),
+        _ if is_ready(host) => (StatusCode::OK, Bytes::from_static(b"ready\n")),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// Tells whether this host should get new callers.
+fn is_ready(host: &Host) -> bool {
+    let state = host.state();
+    !host.leaving.is_cancelled() && state.is_fresh(host.now(), host.settings.freshness)
+}
+
+/// Binds a listening socket.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub async fn listen(step: &'static str, address: std::net::SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| io::Error::new(error.kind(), format!("{step} on {address}: {error}")))
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,39 @@
+//! What a host's daemon is told at its start.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterellane_units::{DomainId, HostId};
+
+/// Settings of one host's daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HostSettings {
+    /// Name of the host.
+    pub host: HostId,
+    /// Failure domain of the host.
+    pub domain: DomainId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the host takes callers.
+    pub readiness: SocketAddr,
+    /// Where other daemons send datagrams; the port is the same on all hosts.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// Addresses of some other daemons; they may be out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
+    /// Time after the start of a look at the configuration for which it counts as the newest.
+    pub freshness: Duration,
+    /// Time from the request to stop until the process is killed.
+    pub shutdown: Duration,
+    /// Further sends that each request earns its upstreams.
+    pub resend_ratio: f64,
+    /// Further sends that the whole fleet may make in a window besides.
+    pub resend_slack: f64,
+    /// Span over which further sends are counted.
+    pub resend_window: Duration,
+    /// Time between the last order of one keeper and the first of the next.
+    pub keeper_gap: Duration,
+}
--- a/crates/fleet/src/clock.rs
+++ b/crates/units/src/clock.rs
@@ -1,6 +1,6 @@
 //! The host's clock.
 
-use dotterellane_units::{ClockInstant, ClockSource};
+use crate::{ClockInstant, ClockSource};
 use rustix::time::{ClockId, clock_gettime};
 
 /// Returns the clock that also counts time during which the host was suspended.
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -1,5 +1,6 @@
 //! Ids, sizes, rates and instants shared by every package of dotterellane.
 
+mod clock;
 mod identifier;
 mod instant;
 mod number;
@@ -7,6 +8,7 @@
 mod rate;
 mod size;
 
+pub use clock::boot_clock;
 pub use identifier::{
     AdapterId, DomainId, HostId, KeyId, ModelId, OperatorId, RegionId, RequestId, ServiceId,
     TeamId, UpstreamId, VersionLabel,
