Charge a leaving or long silent host's spending once

Ruled out: demand beyond the rate; the limits did not change. Totals are kept for minutes, and leaving hosts hold no part of the rate once silent.

--- a/crates/decisions/src/team_levels.rs
+++ b/crates/decisions/src/team_levels.rs
@@ -18,6 +18,9 @@
 /// Time without a report after which a peer no longer holds a part of the rate.
 pub const PEER_MEMORY: Duration = Duration::from_secs(20);
 
+/// Time without a report after which what a peer spent is forgotten.
+const TOTALS_MEMORY: Duration = Duration::from_secs(600);
+
 /// Time after the start in which first reports of peers are taken over and not charged.
 const LEARNING_SPAN: Duration = Duration::from_millis(1_500);
 
@@ -54,6 +57,7 @@
 struct PeerSpending {
     incarnation: HostIncarnation,
     heard: ClockInstant,
+    leaving: bool,
     totals: BTreeMap<TeamId, i64>,
 }
 
@@ -163,6 +167,7 @@
         peer: &HostId,
         incarnation: HostIncarnation,
         report: &[TeamSpending],
+        leaving: bool,
     ) {
         let learning = now.since(self.started) < LEARNING_SPAN && !self.starts_full;
         let part = self.own_part(now);
@@ -189,21 +194,21 @@
                 entry.level = (entry.level - spent).min(entry.limit.burst);
             }
         }
-        self.peers.insert(peer.clone(), PeerSpending { incarnation, heard: now, totals });
-    }
-
-    /// Forgets a peer that said that it leaves.
-    pub fn forget(&mut self, peer: &HostId) {
-        self.peers.remove(peer);
+        self.peers.insert(peer.clone(), PeerSpending { incarnation, heard: now, leaving, totals });
     }
 
     /// Returns the part of each rate that this host may count on: the hosts it hears, itself
     /// included, over the hosts it knows.
     pub fn own_part(&mut self, now: ClockInstant) -> f64 {
-        self.peers.retain(|_, peer| now.since(peer.heard) < PEER_MEMORY);
-        let known = self.peers.len() + 1;
-        let silent =
-            self.peers.values().filter(|peer| now.since(peer.heard) > PEER_SILENCE).count();
+        self.peers.retain(|_, peer| now.since(peer.heard) < TOTALS_MEMORY);
+        let (mut known, mut silent) = (1, 0);
+        for peer in self.peers.values() {
+            let age = now.since(peer.heard);
+            // One that said that it leaves has gone once it is silent, and spends nothing.
+            let memory = if peer.leaving { PEER_SILENCE } else { PEER_MEMORY };
+            known += usize::from(age < memory);
+            silent += usize::from(age < memory && age > PEER_SILENCE);
+        }
         #[expect(clippy::cast_precision_loss, reason = "hosts are few")]
         let part = (known - silent) as f64 / known as f64;
         part
--- a/crates/decisions/src/weight_plan.rs
+++ b/crates/decisions/src/weight_plan.rs
@@ -214,6 +214,12 @@
     due: ClockInstant,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct ModelState {
+    added: ClockInstant,
+    used: ClockInstant,
+}
+
 #[derive(Clone, Debug)]
 struct AdapterState {
     ready: ClockInstant,
@@ -224,7 +230,7 @@
 struct PlanRunner {
     report: RunnerReport,
     accepted: Option<u64>,
-    models: BTreeMap<ModelId, ClockInstant>,
+    models: BTreeMap<ModelId, ModelState>,
     adapters: BTreeMap<(ModelId, AdapterId), AdapterState>,
     changed: ClockInstant,
     open: Option<OpenOrder>,
@@ -272,8 +278,8 @@
         for running in &demand.running {
             self.uses.entry(running.model.clone()).or_default().last = now;
             let Some(runner) = self.runners.get_mut(&running.runner) else { continue };
-            if let Some(used) = runner.models.get_mut(&running.model) {
-                *used = now;
+            if let Some(state) = runner.models.get_mut(&running.model) {
+                state.used = now;
             }
             if let Some(adapter) = &running.adapter {
                 let key = (running.model.clone(), adapter.clone());
@@ -333,7 +339,7 @@
                 take_effect(runner, now, now, order, &self.facts);
                 if order.kind == OrderKind::Load && order.adapter.is_none() {
                     runner.loading = None;
-                    runner.models.insert(order.model.clone(), now);
+                    runner.models.insert(order.model.clone(), ModelState { added: now, used: now });
                 }
             }
             OrderOutcome::Busy => {
@@ -531,12 +537,12 @@
         let mut candidates: Vec<(f64, &ModelId)> = runner
             .models
             .iter()
-            .filter(|(model, since)| {
-                now.since(**since) > LEAST_STAY
+            .filter(|(model, state)| {
+                now.since(state.used) > LEAST_STAY
                     && !self.runs_at(name, model, None)
                     && !(self.is_waited_for(model) && self.copies(model) <= 1)
             })
-            .map(|(model, since)| (self.loss(name, model, now.since(*since)), model))
+            .map(|(model, state)| (self.loss(name, model, now.since(state.used)), model))
             .collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
         let (mut evicted, mut cost) = (Vec::new(), 0.0);
@@ -815,7 +821,7 @@
     if let Some(loading) = &runner.loading
         && report.held.iter().any(|held| held.model == loading.model)
     {
-        runner.models.insert(loading.model.clone(), now);
+        runner.models.insert(loading.model.clone(), ModelState { added: now, used: now });
         runner.loading = None;
     }
     let settled = now.since(runner.changed) > ROW_LAG;
@@ -834,9 +840,11 @@
         }
     }
     let held: BTreeSet<&ModelId> = report.held.iter().map(|held| &held.model).collect();
-    runner.models.retain(|model, _| held.contains(model));
+    // What is said may be from before a load that was seen to end.
+    runner.models.retain(|model, state| held.contains(model) || now.since(state.added) < ROW_LAG);
     for model in held {
-        runner.models.entry(model.clone()).or_insert(now);
+        let state = ModelState { added: now, used: now };
+        runner.models.entry(model.clone()).or_insert(state);
     }
     let mut adapters = BTreeMap::new();
     for held in &report.held {
@@ -848,7 +856,7 @@
     }
     // An adapter on its way is not listed yet.
     runner.adapters.retain(|(model, _), state| {
-        state.ready + ADAPTER_SETTLE * 10 > now && runner.models.contains_key(model)
+        state.ready + ROW_LAG > now && runner.models.contains_key(model)
     });
     adapters.append(&mut runner.adapters);
     runner.adapters = adapters;
--- /dev/null
+++ b/crates/decisions/tests/team_levels.rs
@@ -0,0 +1,178 @@
+//! Levels that hosts keep from what all hosts say they spent.
+
+use std::time::Duration;
+
+use dotterellane_decisions::team_levels::{PEER_MEMORY, TeamLevels, TeamLimit};
+use dotterellane_units::{ClockInstant, HostId, HostIncarnation, TeamId, TokenCount};
+use googletest::prelude::*;
+
+const BEAT: Duration = Duration::from_millis(100);
+const RATE: f64 = 1_000.0;
+
+fn team() -> TeamId {
+    "team-a".parse().expect("valid id")
+}
+
+fn host(index: usize) -> HostId {
+    format!("host-{index}").parse().expect("valid id")
+}
+
+fn at(millis: u64) -> ClockInstant {
+    ClockInstant::from_millis(1_000_000 + millis)
+}
+
+fn levels(now: ClockInstant, starts_full: bool) -> TeamLevels {
+    let mut levels = TeamLevels::new(now, starts_full);
+    levels.set_limits(now, [(team(), TeamLimit { rate: RATE, burst: RATE })]);
+    levels
+}
+
+/// Several hosts whose reports reach those that `hears` allows.
+struct Fleet {
+    hosts: Vec<TeamLevels>,
+    incarnations: Vec<u64>,
+}
+
+impl Fleet {
+    fn new(count: usize, now: ClockInstant) -> Self {
+        let hosts = (0..count).map(|_| levels(now, true)).collect();
+        Self { hosts, incarnations: vec![1; count] }
+    }
+
+    fn restart(&mut self, index: usize, now: ClockInstant) {
+        self.hosts[index] = levels(now, false);
+        self.incarnations[index] += 1;
+    }
+
+    fn report<H>(&mut self, now: ClockInstant, leaving: &[usize], hears: H)
+    where
+        H: Fn(usize, usize) -> bool,
+    {
+        for from in 0..self.hosts.len() {
+            let report = self.hosts[from].report(now);
+            let incarnation = HostIncarnation(self.incarnations[from]);
+            for to in 0..self.hosts.len() {
+                if to != from && hears(from, to) {
+                    let leaves = leaving.contains(&from);
+                    self.hosts[to].absorb(now, &host(from), incarnation, &report, leaves);
+                }
+            }
+        }
+    }
+
+    /// Lets each host spend what it may, in pieces; returns the tokens spent.
+    fn spend_all(&mut self, now: ClockInstant, piece: u64) -> u64 {
+        let mut spent = 0;
+        for levels in &mut self.hosts {
+            while levels.charge(now, &team(), TokenCount(piece)).is_ok() {
+                spent += piece;
+            }
+        }
+        spent
+    }
+}
+
+#[gtest]
+fn levels_spent_on_one_host_are_missing_on_another() {
+    let mut fleet = Fleet::new(2, at(0));
+    expect_that!(fleet.hosts[0].charge(at(0), &team(), TokenCount(900)), ok(anything()));
+    fleet.report(at(10), &[], |_, _| true);
+    expect_that!(fleet.hosts[1].charge(at(10), &team(), TokenCount(900)), err(anything()));
+}
+
+#[gtest]
+fn levels_stay_within_rate_and_burst_while_reports_come() {
+    let mut fleet = Fleet::new(9, at(0));
+    let mut spent = 0;
+    for step in 0..80 {
+        let now = at(step * 100);
+        spent += fleet.spend_all(now, 50);
+        fleet.report(now, &[], |_, _| true);
+    }
+    // Nine hosts may each spend the burst once before the first reports; after that the debt is paid.
+    expect_that!(spent, le(8_000 + 9 * 1_000));
+    expect_that!(spent, ge(8_000));
+}
+
+#[gtest]
+fn levels_in_rate_demand_on_a_single_host_is_never_refused() {
+    let mut fleet = Fleet::new(9, at(0));
+    for step in 0..100 {
+        let now = at(step * 100);
+        let charged = fleet.hosts[4].charge(now, &team(), TokenCount(90));
+        expect_that!(charged, ok(anything()), "at step {step}");
+        fleet.report(now, &[], |_, _| true);
+    }
+}
+
+#[gtest]
+fn levels_parts_of_a_cut_fleet_stay_within_the_rate_together() {
+    let mut fleet = Fleet::new(9, at(0));
+    fleet.report(at(0), &[], |_, _| true);
+    // The first second lets the cut be noticed; the window after it counts.
+    let mut spent = 0;
+    for step in 0..180 {
+        let now = at(step * 100);
+        let round = fleet.spend_all(now, 50);
+        if step >= 10 && step < 90 {
+            spent += round;
+        }
+        fleet.report(now, &[], |from, to| (from < 3) == (to < 3));
+    }
+    expect_that!(spent, le(8_000 + 1_000 + 9 * 50));
+}
+
+#[gtest]
+fn levels_leaving_host_that_reports_on_is_charged_once() {
+    let mut fleet = Fleet::new(2, at(0));
+    expect_that!(fleet.hosts[0].charge(at(0), &team(), TokenCount(600)), ok(anything()));
+    for step in 0..30 {
+        fleet.report(at(step * 100), &[0], |_, _| true);
+    }
+    expect_that!(fleet.hosts[1].charge(at(3_000), &team(), TokenCount(900)), ok(anything()));
+}
+
+#[gtest]
+fn levels_host_that_left_holds_no_part_of_the_rate() {
+    let mut fleet = Fleet::new(2, at(0));
+    fleet.report(at(0), &[0], |_, _| true);
+    expect_that!(fleet.hosts[1].own_part(at(100)), eq(1.0));
+    expect_that!(fleet.hosts[1].own_part(at(2_000)), eq(1.0));
+}
+
+#[gtest]
+fn levels_peer_back_after_a_long_silence_is_charged_once() {
+    let mut fleet = Fleet::new(2, at(0));
+    expect_that!(fleet.hosts[0].charge(at(0), &team(), TokenCount(600)), ok(anything()));
+    fleet.report(at(10), &[], |_, _| true);
+    let later = at(10) + PEER_MEMORY + PEER_MEMORY;
+    fleet.report(later, &[], |_, _| true);
+    fleet.report(later + BEAT, &[], |_, _| true);
+    let charged = fleet.hosts[1].charge(later + BEAT, &team(), TokenCount(900));
+    expect_that!(charged, ok(anything()));
+}
+
+#[gtest]
+fn levels_restarted_host_starts_from_what_peers_believe() {
+    let mut fleet = Fleet::new(3, at(0));
+    fleet.report(at(0), &[], |_, _| true);
+    fleet.restart(0, at(500));
+    fleet.report(at(510), &[], |_, _| true);
+    expect_that!(fleet.hosts[0].charge(at(510), &team(), TokenCount(900)), ok(anything()));
+    expect_that!(levels(at(0), false).charge(at(0), &team(), TokenCount(900)), err(anything()));
+}
+
+#[gtest]
+fn levels_request_above_the_burst_passes_when_full_and_is_paid_off() {
+    let mut levels = levels(at(0), true);
+    expect_that!(levels.charge(at(0), &team(), TokenCount(3_000)), ok(anything()));
+    expect_that!(levels.charge(at(1_900), &team(), TokenCount(1)), err(anything()));
+    expect_that!(levels.charge(at(2_100), &team(), TokenCount(1)), ok(anything()));
+}
+
+#[gtest]
+fn levels_without_a_limit_never_refuse() {
+    let mut levels = TeamLevels::new(at(0), false);
+    levels.set_limits(at(0), [(team(), TeamLimit { rate: 0.0, burst: 0.0 })]);
+    expect_that!(levels.charge(at(0), &team(), TokenCount(1 << 40)), ok(anything()));
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -79,7 +79,7 @@
 #[derive(Debug)]
 pub enum SendEnd {
     /// The head of an answer of the request's run.
-    Head(FoundPlace, Response<Incoming>),
+    Head(FoundPlace, Box<Response<Incoming>>),
     /// The request did not run; another upstream may be asked after a pause.
     NotRun(Duration),
     /// The request may have run.
@@ -100,14 +100,14 @@
     loop {
         let place = match find_place(host, call, &mut admission, &journey).await {
             Ok(place) => place,
-            Err(refusal) => return fallback.map_or_else(|| Err(journey.settle(refusal)), Ok),
+            Err(refusal) => return fallback.ok_or_else(|| journey.settle(refusal)),
         };
         match send(host, call, &admission, &mut journey, place).await {
             SendEnd::Head(place, head) => {
                 if head.status().is_success() && admission.route.kind.is_stream() {
-                    return Ok(start_relay(host, call, admission, journey, place, head));
+                    return Ok(start_relay(host, call, admission, journey, place, *head));
                 }
-                match finish_whole(host, call, &mut journey, place, head).await {
+                match finish_whole(host, call, &mut journey, place, *head).await {
                     Some(answer) => {
                         let failed = answer.status().is_server_error();
                         if !failed || !journey.may_run_again(host, &admission) {
@@ -122,7 +122,7 @@
             SendEnd::NotRun(pause) => {
                 if journey.sends >= MOST_SENDS || !may_resend(host, &journey.service) {
                     let refusal = GatewayRefusal::not_run("no_place", NO_PLACE_RETRY);
-                    return fallback.map_or_else(|| Err(journey.settle(refusal)), Ok);
+                    return fallback.ok_or_else(|| journey.settle(refusal));
                 }
                 sleep(pause).await;
             }
@@ -132,7 +132,7 @@
                         Some(_) => GatewayRefusal::upstream_failed(reason),
                         None => GatewayRefusal::timed_out(),
                     };
-                    return fallback.map_or(Err(refusal), Ok);
+                    return fallback.ok_or(refusal);
                 }
             }
         }
@@ -375,7 +375,7 @@
     let kind =
         (host.wire.answer)(answer.status(), answer.headers(), &call.head.request, &place.name);
     match kind {
-        AnswerKind::Run => SendEnd::Head(place, answer),
+        AnswerKind::Run => SendEnd::Head(place, Box::new(answer)),
         AnswerKind::NotRun => {
             log_send(host, call, journey, &place.name, "did not run it");
             SendEnd::NotRun(FULL_PAUSE)
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -94,12 +94,13 @@
         let Some((batch, whole)) = follower.look(&host, CONFIGURATION_WAIT).await else { continue };
         let newest = batch.rows.iter().rev().find(|row| row.key == host.wire.document_key);
         match newest {
-            Some(FeedRow { version, value: Some(value), .. }) => {
-                if !adopt_document(&host, started, *version, value) {
-                    // What is in force is not known until a version can be read.
-                    continue;
-                }
+            // What is in force is not known until a version can be read.
+            Some(FeedRow { version, value: Some(value), .. })
+                if !adopt_document(&host, started, *version, value) =>
+            {
+                continue;
             }
+            Some(FeedRow { value: Some(_), .. }) => {}
             Some(FeedRow { value: None, .. }) => {
                 spdlog::error!("configuration was removed", kv: { version = batch.version.0 });
                 continue;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterellane_decisions::team_levels::PEER_MEMORY;
+use dotterellane_decisions::team_levels::{PEER_MEMORY, PEER_SILENCE};
 use dotterellane_platform::{RowWrite, TableTransaction};
 use dotterellane_units::HostId;
 use tokio::time::{sleep, timeout};
@@ -103,7 +103,9 @@
     let now = host.now();
     let keeper = keeper::mark(host);
     let mut state = host.state();
-    state.peers.retain(|_, peer| now.since(peer.heard) < PEER_MEMORY);
+    state.peers.retain(|_, peer| {
+        now.since(peer.heard) < if peer.leaving { PEER_SILENCE } else { PEER_MEMORY }
+    });
     state.unreported = false;
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
     let beat = HostBeat {
@@ -154,7 +156,9 @@
     let mut state = host.state();
     let known = state.peers.get(&from);
     let stranger = known.is_none_or(|known| known.incarnation != incarnation);
-    state.peers.insert(from.clone(), KnownPeer { address: source, incarnation, heard: now });
+    let leaving = known.is_some_and(|known| known.leaving && known.incarnation == incarnation);
+    let peer = KnownPeer { address: source, incarnation, heard: now, leaving };
+    state.peers.insert(from.clone(), peer);
     drop(state);
     if stranger {
         spdlog::info!("peer appeared", kv: {
@@ -179,16 +183,15 @@
 ) {
     let now = host.now();
     let mut state = host.state();
-    state.levels.absorb(now, from, incarnation, &beat.spending);
+    state.levels.absorb(now, from, incarnation, &beat.spending, beat.leaving);
     if let Some(mark) = beat.keeper {
         let newer = state.keeper.as_ref().is_none_or(|known| known.mark.fence <= mark.fence);
         if newer {
             state.keeper = Some(KnownKeeper { host: from.clone(), mark, heard: now });
         }
     }
-    if beat.leaving {
-        state.peers.remove(from);
-        state.levels.forget(from);
+    if let Some(peer) = state.peers.get_mut(from) {
+        peer.leaving = beat.leaving;
     }
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
     drop(state);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -181,7 +181,7 @@
             match send(&host, &call, &self.admission, &mut self.journey, place).await {
                 SendEnd::Head(place, head) if head.status().is_success() => {
                     self.journey.runs += 1;
-                    return Some((place, head));
+                    return Some((place, *head));
                 }
                 SendEnd::Head(..) => self.journey.runs += 1,
                 SendEnd::NotRun(pause) => tokio::time::sleep(pause).await,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -58,6 +58,8 @@
     pub incarnation: HostIncarnation,
     /// When it was last heard.
     pub heard: ClockInstant,
+    /// Whether it said that it leaves.
+    pub leaving: bool,
 }
 
 /// The keeper as this host knows it.
