Count orders through refusals, and believe no report older than the last order

Ruled out: late orders of the killed keeper (the runner's count matched). Refusals keep the count, five in a row lead to a question, a refused unload is restored, reports asked for before the last order say nothing of what is held.

--- a/crates/decisions/src/weight_plan.rs
+++ b/crates/decisions/src/weight_plan.rs
@@ -25,7 +25,13 @@
 const LEAST_STAY: Duration = Duration::from_millis(1_200);
 
 /// Pause before an order is tried again that a runner did not take.
-const ORDER_PAUSE: Duration = Duration::from_millis(120);
+const ORDER_PAUSE: Duration = Duration::from_millis(60);
+
+/// Orders that a runner may turn away one after the other before it is asked for its state.
+const BUSY_ORDERS: u32 = 5;
+
+/// Age that what a runner says of itself may have.
+const REPORT_LAG: Duration = Duration::from_millis(500);
 
 /// Pause after an order that a runner cannot take at all.
 const REFUSED_PAUSE: Duration = Duration::from_secs(2);
@@ -100,6 +106,8 @@
     pub accepted: Option<u64>,
     /// Whether it leaves.
     pub draining: bool,
+    /// Whether it carries out an order; rows of the directory do not tell.
+    pub busy: bool,
     /// What it holds.
     pub held: Vec<HeldModel>,
     /// Models whose weights are in its own memory or on its disk.
@@ -230,6 +238,10 @@
 struct PlanRunner {
     report: RunnerReport,
     accepted: Option<u64>,
+    /// Whether it must be asked for its state before it gets another order.
+    questioned: bool,
+    /// Orders that it turned away one after the other.
+    refusals: u32,
     models: BTreeMap<ModelId, ModelState>,
     adapters: BTreeMap<(ModelId, AdapterId), AdapterState>,
     changed: ClockInstant,
@@ -304,24 +316,46 @@
         self.runners.retain(|runner, _| kept(runner));
     }
 
-    /// Takes in what is said of a runner.
-    pub fn on_report(&mut self, now: ClockInstant, runner: &UpstreamId, report: RunnerReport) {
+    /// Takes in a row of the directory.
+    pub fn on_row(&mut self, now: ClockInstant, runner: &UpstreamId, row: RunnerReport) {
+        match self.runners.get_mut(runner).filter(|known| known.report.born == row.born) {
+            Some(known) => adopt_row(known, now, row),
+            None => {
+                self.runners.insert(runner.clone(), new_runner(now, row));
+            }
+        }
+    }
+
+    /// Takes in a runner's own report, which it was asked for at `asked`.
+    pub fn on_report(
+        &mut self,
+        now: ClockInstant,
+        runner: &UpstreamId,
+        asked: ClockInstant,
+        report: &RunnerReport,
+    ) {
         let known = self.runners.get_mut(runner).filter(|known| known.report.born == report.born);
-        let Some(known) = known else {
-            self.runners.insert(runner.clone(), new_runner(now, report));
+        let (Some(known), Some(accepted)) = (known, report.accepted) else { return };
+        if known.accepted.is_some_and(|counted| accepted < counted) {
             return;
-        };
-        match report.accepted {
-            None => adopt_row(known, now, report),
-            Some(accepted) => {
-                settle_open(known, now, accepted, &self.facts);
-                // A report lags a little: one that misses an order is from before it.
-                if known.accepted.is_none_or(|counted| accepted >= counted) {
-                    known.accepted = Some(accepted);
-                    adopt_held(known, now, &report);
-                }
+        }
+        if let Some(open) = known.open.take_if(|open| open.unanswered) {
+            if accepted > open.order.expected_sequence {
+                known.accepted = Some(accepted);
+                take_effect(known, now, open.sent, &open.order, &self.facts);
+            } else if asked.since(open.sent) <= DOUBT_PAUSE {
+                known.open = Some(open);
+            } else {
+                // A later order with the same number makes the late one void, or the other way round.
+                restore(known, now, &open.order);
             }
         }
+        known.accepted = Some(accepted);
+        if known.open.is_none() && asked > known.changed + REPORT_LAG {
+            adopt_held(known, now, report);
+            known.questioned = report.busy && known.loading.is_none();
+            known.refusals = 0;
+        }
     }
 
     /// Takes in how an order ended.
@@ -331,11 +365,12 @@
         match outcome {
             OrderOutcome::Accepted => {
                 runner.accepted = Some(order.expected_sequence + 1);
+                runner.refusals = 0;
                 take_effect(runner, now, now, order, &self.facts);
             }
             OrderOutcome::Holds => {
                 // Whether the runner counts an order that changed nothing has to be asked.
-                runner.accepted = None;
+                runner.questioned = true;
                 take_effect(runner, now, now, order, &self.facts);
                 if order.kind == OrderKind::Load && order.adapter.is_none() {
                     runner.loading = None;
@@ -343,10 +378,16 @@
                 }
             }
             OrderOutcome::Busy => {
-                runner.accepted = None;
+                restore(runner, now, order);
+                runner.refusals += 1;
+                runner.questioned |= runner.refusals >= BUSY_ORDERS;
                 runner.not_before = now + ORDER_PAUSE;
             }
-            OrderOutcome::Refused => runner.not_before = now + REFUSED_PAUSE,
+            OrderOutcome::Refused => {
+                restore(runner, now, order);
+                runner.questioned = true;
+                runner.not_before = now + REFUSED_PAUSE;
+            }
             OrderOutcome::Unanswered => {
                 runner.open = Some(OpenOrder { unanswered: true, ..open });
             }
@@ -362,7 +403,7 @@
                 .as_ref()
                 .is_some_and(|open| open.unanswered && now.since(open.sent) > DOUBT_PAUSE);
             let overdue = runner.loading.as_ref().is_some_and(|loading| loading.due <= now);
-            unanswered || overdue || runner.accepted.is_none()
+            unanswered || overdue || runner.questioned
         });
         doubtful.map(|(runner, _)| runner.clone()).collect()
     }
@@ -727,7 +768,7 @@
             .filter(|(_, runner)| {
                 !runner.report.draining
                     && runner.models.contains_key(&key.0)
-                    && runner.accepted.is_some()
+                    && !runner.questioned
                     && runner.open.is_none()
                     && runner.not_before <= now
             })
@@ -765,7 +806,7 @@
 }
 
 fn is_idle(runner: &PlanRunner, now: ClockInstant) -> bool {
-    runner.accepted.is_some()
+    !runner.questioned
         && runner.open.is_none()
         && runner.loading.is_none()
         && runner.not_before <= now
@@ -788,7 +829,9 @@
 fn new_runner(now: ClockInstant, report: RunnerReport) -> PlanRunner {
     let mut runner = PlanRunner {
         report: RunnerReport { held: Vec::new(), ..report.clone() },
-        accepted: report.accepted,
+        accepted: None,
+        questioned: true,
+        refusals: 0,
         models: BTreeMap::new(),
         adapters: BTreeMap::new(),
         changed: ClockInstant::default(),
@@ -800,16 +843,12 @@
     runner
 }
 
-/// Settles an order without an answer by the number of orders that the runner says it accepted.
-fn settle_open(runner: &mut PlanRunner, now: ClockInstant, accepted: u64, facts: &PlanFacts) {
-    let Some(open) = runner.open.take_if(|open| open.unanswered) else { return };
-    if accepted > open.order.expected_sequence {
-        runner.accepted = Some(accepted);
-        take_effect(runner, now, open.sent, &open.order, facts);
-    } else if now.since(open.sent) <= DOUBT_PAUSE {
-        runner.open = Some(open);
+/// Takes back what was assumed of an order that did not take effect.
+fn restore(runner: &mut PlanRunner, now: ClockInstant, order: &PlannedOrder) {
+    if order.kind == OrderKind::Unload && order.adapter.is_none() {
+        let state = ModelState { added: now, used: now };
+        runner.models.entry(order.model.clone()).or_insert(state);
     }
-    // Else a later order with the same number makes the late one void, whichever comes first.
 }
 
 /// Believes a row of the directory as far as it can be as new as what is known.
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -177,7 +177,7 @@
         let reports = reports.remove(service).unwrap_or_default();
         plan.retain_runners(|runner| reports.iter().any(|(name, _)| name == runner));
         for (name, report) in reports {
-            plan.on_report(now, &name, report);
+            plan.on_row(now, &name, report);
         }
     }
     drop(desk);
@@ -439,6 +439,7 @@
 
 async fn ask_runner(host: Arc<Host>, runner: UpstreamId) {
     let call = (host.wire.report_call)(&runner);
+    let asked = host.now();
     let Some(Ok((status, body))) = call_runner(&host, &runner, &call).await else { return };
     if !status.is_success() {
         return;
@@ -448,7 +449,7 @@
             let now = host.now();
             let mut desk = host.desk.lock();
             for plan in desk.plans.values_mut().filter(|plan| plan.knows(&runner)) {
-                plan.on_report(now, &runner, report.clone());
+                plan.on_report(now, &runner, asked, &report);
             }
             drop(desk);
             host.plan_wanted.notify_one();
