Keep the room that an unload makes for the model it was made for

Cause: while an unload was under way the plan picked another runner for the same model, so that one wanted model emptied up to three places; adapters were ordered of runners that were loading, which refuse them (74 of 108). Ruled out: too few idle places. Room is reserved for 3 s, adapters wait for idle runners.

--- a/crates/decisions/src/weight_plan.rs
+++ b/crates/decisions/src/weight_plan.rs
@@ -27,6 +27,12 @@
 /// Pause before an order is tried again that a runner did not take.
 const ORDER_PAUSE: Duration = Duration::from_millis(60);
 
+/// Time that a runner takes to drop an idle model.
+const UNLOAD_SPAN: Duration = Duration::from_millis(60);
+
+/// Time for which the room that an unload makes is kept for the model that it was made for.
+const RESERVATION_SPAN: Duration = Duration::from_secs(3);
+
 /// Orders that a runner may turn away one after the other before it is asked for its state.
 const BUSY_ORDERS: u32 = 5;
 
@@ -248,6 +254,8 @@
     open: Option<OpenOrder>,
     loading: Option<ModelLoading>,
     not_before: ClockInstant,
+    /// Model that room is being made for, and until when the room is kept.
+    reserved: Option<(ModelId, ClockInstant)>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -366,11 +374,19 @@
             OrderOutcome::Accepted => {
                 runner.accepted = Some(order.expected_sequence + 1);
                 runner.refusals = 0;
+                if order.kind == OrderKind::Unload && order.adapter.is_none() {
+                    runner.not_before = now + UNLOAD_SPAN;
+                }
                 take_effect(runner, now, now, order, &self.facts);
             }
             OrderOutcome::Holds => {
-                // Whether the runner counts an order that changed nothing has to be asked.
-                runner.questioned = true;
+                if order.adapter.is_some() && order.kind == OrderKind::Unload {
+                    // Adapters are dropped at once, and the order counts.
+                    runner.accepted = Some(order.expected_sequence + 1);
+                } else {
+                    // Whether an order that changed nothing counts has to be asked.
+                    runner.questioned = true;
+                }
                 take_effect(runner, now, now, order, &self.facts);
                 if order.kind == OrderKind::Load && order.adapter.is_none() {
                     runner.loading = None;
@@ -641,6 +657,11 @@
         orders: &mut Vec<PlannedOrder>,
     ) {
         let Some(facts) = self.facts.models.get(model).cloned() else { return };
+        let reserved = self
+            .runners
+            .iter()
+            .find(|(_, runner)| !runner.report.draining && is_reserved_for(runner, model, now));
+        let reserved = reserved.map(|(name, _)| name.clone());
         let mut best: Option<(f64, UpstreamId, LoadTier, Vec<ModelId>)> = None;
         let mut held_busy = false;
         let names: Vec<UpstreamId> = self.runners.keys().cloned().collect();
@@ -649,6 +670,10 @@
             if runner.report.draining || runner.models.contains_key(model) {
                 continue;
             }
+            let elsewhere = reserved.as_ref().is_some_and(|reserved| *reserved != name);
+            if elsewhere || is_reserved_for_another(runner, model, now) {
+                continue;
+            }
             let tier = self.tier(runner, model);
             if !is_idle(runner, now) {
                 let soon = runner.loading.as_ref().is_none_or(|loading| {
@@ -684,6 +709,10 @@
         orders: &mut Vec<PlannedOrder>,
     ) {
         let Some(expected_sequence) = self.runners[&runner].accepted else { return };
+        if let Some(chosen) = self.runners.get_mut(&runner) {
+            let until = now + RESERVATION_SPAN;
+            chosen.reserved = (!evicted.is_empty()).then(|| (model.clone(), until));
+        }
         let order = match evicted.into_iter().next() {
             Some(evicted) => PlannedOrder {
                 runner,
@@ -768,11 +797,9 @@
             .filter(|(_, runner)| {
                 !runner.report.draining
                     && runner.models.contains_key(&key.0)
-                    && !runner.questioned
-                    && runner.open.is_none()
-                    && runner.not_before <= now
+                    && is_idle(runner, now)
             })
-            .max_by_key(|(_, runner)| (runner.loading.is_none(), free(runner)));
+            .max_by_key(|(_, runner)| free(runner));
         let Some((name, runner)) = holder else { return };
         let Some(expected_sequence) = runner.accepted else { return };
         let name = name.clone();
@@ -812,6 +839,14 @@
         && runner.not_before <= now
 }
 
+fn is_reserved_for(runner: &PlanRunner, model: &ModelId, now: ClockInstant) -> bool {
+    runner.reserved.as_ref().is_some_and(|(of, until)| of == model && *until > now)
+}
+
+fn is_reserved_for_another(runner: &PlanRunner, model: &ModelId, now: ClockInstant) -> bool {
+    runner.reserved.as_ref().is_some_and(|(of, until)| of != model && *until > now)
+}
+
 fn load_span(facts: &ModelFacts, tier: LoadTier) -> Duration {
     match tier {
         LoadTier::Memory => facts.memory_load,
@@ -838,6 +873,7 @@
         open: None,
         loading: None,
         not_before: ClockInstant::default(),
+        reserved: None,
     };
     adopt_held(&mut runner, now, &report);
     runner
