Send to the shortest queue of the fleet and leave out runners that refuse connections

Cause: requests of one session met at one runner (2.6 times the mean) and prefills queued there; a crashed runner got sends until its row lapsed, each taking from the budget of further sends. Ruled out: too few replicas alone. Beats carry what each host runs, refused connections are told to the keeper and cost no budget, replicas follow demand over 5 s.

--- a/crates/decisions/src/keeper_lease.rs
+++ b/crates/decisions/src/keeper_lease.rs
@@ -172,8 +172,8 @@
         self.seen = Some(SeenRow { version, row, since: started });
     }
 
-    /// Takes in that a write failed or its fate is unknown: the row must be read again.
-    pub fn on_write_failed(&mut self) {
+    /// Takes in that what is known of the row may not hold: it must be read again.
+    pub fn on_doubt(&mut self) {
         self.read = false;
     }
 
--- a/crates/decisions/src/runner_choice.rs
+++ b/crates/decisions/src/runner_choice.rs
@@ -2,9 +2,6 @@
 
 use dotterellane_units::UpstreamId;
 
-/// Part of an upstream's places that this host fills before it spreads a session's requests.
-const STICKY_FILL: f64 = 0.5;
-
 /// An upstream that could take a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunnerCandidate {
@@ -12,44 +9,20 @@
     pub name: UpstreamId,
     /// Whether it is in this host's failure domain.
     pub near: bool,
-    /// Requests of this host that it works on.
+    /// Requests that it works on, as far as this host knows.
     pub running: u32,
-    /// Requests that it works on at once.
-    pub places: u32,
     /// Whether it failed a request of this host a moment ago.
     pub failing: bool,
     /// Whether this request was sent to it before.
     pub tried: bool,
 }
 
-/// Returns the upstream that a request goes to, `None` without candidates.
-///
-/// `affinity` is what requests share whose prompts begin alike: they go to the same upstream, which
-/// keeps that beginning in memory, from every host and without any talk. Others go to the upstream
-/// with the fewest requests, near ones first.
-pub fn choose_runner(
-    candidates: &[RunnerCandidate],
-    affinity: Option<u64>,
-    spread: u64,
-) -> Option<&RunnerCandidate> {
-    let sound = |candidate: &&RunnerCandidate| !candidate.failing && !candidate.tried;
-    let untried = |candidate: &&RunnerCandidate| !candidate.tried;
-    let pools: [Vec<&RunnerCandidate>; 3] = [
-        candidates.iter().filter(sound).collect(),
-        candidates.iter().filter(untried).collect(),
-        candidates.iter().collect(),
-    ];
-    let pool = pools.iter().find(|pool| !pool.is_empty())?;
-    if let Some(affinity) = affinity {
-        let roomy = |candidate: &&&RunnerCandidate| {
-            f64::from(candidate.running) < f64::from(candidate.places) * STICKY_FILL
-        };
-        let sticky = pool.iter().filter(roomy).max_by_key(|one| weight(affinity, &one.name));
-        if let Some(sticky) = sticky {
-            return Some(sticky);
-        }
-    }
-    pool.iter().min_by_key(|one| (one.running, !one.near, weight(spread, &one.name))).copied()
+/// Returns the upstream that a request goes to, `None` without candidates: a sound one that the
+/// request has not been sent to, with the fewest requests, near ones first. `spread` breaks ties.
+pub fn choose_runner(candidates: &[RunnerCandidate], spread: u64) -> Option<&RunnerCandidate> {
+    candidates.iter().min_by_key(|one| {
+        (one.tried, one.failing, one.running, !one.near, weight(spread, &one.name))
+    })
 }
 
 fn weight(seed: u64, name: &UpstreamId) -> u64 {
--- a/crates/decisions/src/weight_plan.rs
+++ b/crates/decisions/src/weight_plan.rs
@@ -33,6 +33,9 @@
 /// Time for which the room that an unload makes is kept for the model that it was made for.
 const RESERVATION_SPAN: Duration = Duration::from_secs(3);
 
+/// Time for which a runner that a host could not connect to is left out.
+const UNREACHABLE_SPAN: Duration = Duration::from_millis(1_500);
+
 /// Orders that a runner may turn away one after the other before it is asked for its state.
 const BUSY_ORDERS: u32 = 5;
 
@@ -55,13 +58,13 @@
 const LOAD_GRACE: Duration = Duration::from_secs(4);
 
 /// Requests a second that one replica of a model takes before another is added.
-const REPLICA_RATE: f64 = 4.0;
+const REPLICA_RATE: f64 = 3.0;
 
 /// Requests at once that one replica of a model takes before another is added.
 const REPLICA_RUNS: f64 = 24.0;
 
 /// Span over which demand for a model is averaged.
-const DEMAND_SPAN: Duration = Duration::from_secs(8);
+const DEMAND_SPAN: Duration = Duration::from_secs(5);
 
 /// What a service says of one of its models.
 #[derive(Clone, Debug, PartialEq)]
@@ -254,10 +257,19 @@
     open: Option<OpenOrder>,
     loading: Option<ModelLoading>,
     not_before: ClockInstant,
+    /// Until when it counts as one that cannot be reached.
+    unreachable: Option<ClockInstant>,
     /// Model that room is being made for, and until when the room is kept.
     reserved: Option<(ModelId, ClockInstant)>,
 }
 
+impl PlanRunner {
+    /// Tells whether requests and orders may go to it.
+    fn is_usable(&self, now: ClockInstant) -> bool {
+        !self.report.draining && self.unreachable.is_none_or(|until| until <= now)
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct ModelUse {
     rate: f64,
@@ -273,6 +285,8 @@
     demand: BTreeMap<HostId, (ClockInstant, HostDemand)>,
     uses: BTreeMap<ModelId, ModelUse>,
     store_starts: VecDeque<ClockInstant>,
+    /// When the plan was last looked at.
+    now: ClockInstant,
 }
 
 impl WeightPlan {
@@ -311,6 +325,13 @@
         self.demand.insert(host, (now, demand));
     }
 
+    /// Takes in that a host could not connect to a runner.
+    pub fn on_unreachable(&mut self, now: ClockInstant, runner: &UpstreamId) {
+        if let Some(runner) = self.runners.get_mut(runner) {
+            runner.unreachable = Some(now + UNREACHABLE_SPAN);
+        }
+    }
+
     /// Tells whether `runner` belongs to the plan.
     pub fn knows(&self, runner: &UpstreamId) -> bool {
         self.runners.contains_key(runner)
@@ -452,6 +473,7 @@
 
     /// Returns the orders that are due now; each counts as sent.
     pub fn next_orders(&mut self, now: ClockInstant) -> Vec<PlannedOrder> {
+        self.now = now;
         self.demand.retain(|_, (heard, _)| now.since(*heard) < DEMAND_MEMORY);
         for usage in self.uses.values_mut() {
             decay(usage, now);
@@ -529,7 +551,7 @@
     /// Runners that hold `model` or load it.
     fn copies(&self, model: &ModelId) -> usize {
         let holds = |runner: &&PlanRunner| {
-            !runner.report.draining
+            runner.is_usable(self.now)
                 && (runner.models.contains_key(model)
                     || runner.loading.as_ref().is_some_and(|loading| loading.model == *model)
                     || runner.open.as_ref().is_some_and(|open| {
@@ -666,7 +688,7 @@
         let names: Vec<UpstreamId> = self.runners.keys().cloned().collect();
         for name in names {
             let runner = &self.runners[&name];
-            if runner.report.draining || runner.models.contains_key(model) {
+            if !runner.is_usable(now) || runner.models.contains_key(model) {
                 continue;
             }
             let elsewhere = reserved.as_ref().is_some_and(|reserved| *reserved != name);
@@ -774,7 +796,7 @@
                         && open.order.model == key.0
                         && open.order.adapter.as_ref() == Some(&key.1)
                 });
-                !runner.report.draining && (runner.adapters.contains_key(&key) || coming)
+                runner.is_usable(now) && (runner.adapters.contains_key(&key) || coming)
             });
             if !present {
                 self.plan_adapter(now, &key, orders);
@@ -794,9 +816,7 @@
             .runners
             .iter()
             .filter(|(_, runner)| {
-                !runner.report.draining
-                    && runner.models.contains_key(&key.0)
-                    && is_idle(runner, now)
+                runner.is_usable(now) && runner.models.contains_key(&key.0) && is_idle(runner, now)
             })
             .max_by_key(|(_, runner)| free(runner));
         let Some((name, runner)) = holder else { return };
@@ -872,6 +892,7 @@
         open: None,
         loading: None,
         not_before: ClockInstant::default(),
+        unreachable: None,
         reserved: None,
     };
     adopt_held(&mut runner, now, &report);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -14,6 +14,9 @@
 /// Time for which an upstream that failed is passed over while others are sound.
 pub const FAILURE_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Time for which an upstream that accepted no connection gets no requests.
+pub const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Time after the keeper told what an upstream holds in which rows do not overrule it.
 const KEEPER_MEMORY: Duration = Duration::from_millis(2_800);
 
@@ -32,6 +35,7 @@
     /// When its row went missing.
     lapsed: Option<ClockInstant>,
     failed: Option<ClockInstant>,
+    refused: Option<ClockInstant>,
     misses: BTreeMap<ModelChoice, ClockInstant>,
 }
 
@@ -39,9 +43,15 @@
     /// Tells whether it may get requests.
     pub fn is_usable(&self, now: ClockInstant) -> bool {
         !self.entry.report.draining
+            && !self.is_unreachable(now)
             && self.lapsed.is_none_or(|lapsed| now.since(lapsed) < LAPSE_GRACE)
     }
 
+    /// Tells whether it accepted no connection a moment ago.
+    fn is_unreachable(&self, now: ClockInstant) -> bool {
+        self.refused.is_some_and(|refused| now.since(refused) < UNREACHABLE_PAUSE)
+    }
+
     /// Tells whether it failed a moment ago.
     pub fn is_failing(&self, now: ClockInstant) -> bool {
         self.failed.is_some_and(|failed| now.since(failed) < FAILURE_PAUSE)
@@ -88,6 +98,7 @@
             entry,
             lapsed: None,
             failed: None,
+            refused: None,
             misses: BTreeMap::new(),
         };
         self.upstreams.insert(name, known);
@@ -133,6 +144,19 @@
         }
     }
 
+    /// Notes that an upstream accepted no connection.
+    pub fn note_unreachable(&mut self, now: ClockInstant, name: &UpstreamId) {
+        if let Some(known) = self.upstreams.get_mut(name) {
+            known.refused = Some(now);
+        }
+    }
+
+    /// Returns the upstreams that accepted no connection a moment ago.
+    pub fn unreachable(&self, now: ClockInstant) -> Vec<UpstreamId> {
+        let unreachable = self.upstreams.iter().filter(|(_, known)| known.is_unreachable(now));
+        unreachable.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Notes that an upstream does not hold a model.
     pub fn note_miss(&mut self, now: ClockInstant, name: &UpstreamId, choice: ModelChoice) {
         if let Some(known) = self.upstreams.get_mut(name) {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -86,7 +86,9 @@
 pub enum SendEnd {
     /// The head of an answer of the request's run.
     Head(FoundPlace, Box<Response<Incoming>>),
-    /// The request did not run; another upstream may be asked after a pause.
+    /// No byte of the request was sent; another upstream may be asked.
+    NotSent,
+    /// The upstream did not run the request; another may be asked after a pause.
     NotRun(Duration),
     /// The request may have run.
     Broken(&'static str),
@@ -125,6 +127,7 @@
                     None => return Err(GatewayRefusal::upstream_failed("answer_broken")),
                 }
             }
+            SendEnd::NotSent => {}
             SendEnd::NotRun(pause) => {
                 if journey.sends >= MOST_SENDS || !may_resend(host, &journey.service) {
                     let refusal = GatewayRefusal::not_run("no_place", NO_PLACE_RETRY);
@@ -288,14 +291,12 @@
         .map(|(name, known)| RunnerCandidate {
             name: name.clone(),
             near: known.entry.domain == host.settings.domain,
-            running: state.runs_at(name),
-            places: known.entry.places,
+            running: state.all_runs_at(name),
             failing: known.is_failing(now),
             tried: journey.tried.contains(name),
         })
         .collect();
-    let affinity = call.head.affinity.filter(|_| admission.route.sticky);
-    let Some(chosen) = choose_runner(&candidates, affinity, spread_of(call)) else {
+    let Some(chosen) = choose_runner(&candidates, spread_of(call)) else {
         return Ok(None);
     };
     let name = chosen.name.clone();
@@ -319,7 +320,7 @@
     place: FoundPlace,
 ) -> SendEnd {
     let Some(remaining) = journey.remaining(host) else {
-        return SendEnd::NotRun(Duration::ZERO);
+        return SendEnd::NotSent;
     };
     let priority = match (&admission.team, admission.route.priority) {
         (Some((_, Some(own))), _) => *own,
@@ -352,6 +353,7 @@
     let end = classify(host, call, journey, place, sent);
     let label = match &end {
         SendEnd::Head(..) => "answered",
+        SendEnd::NotSent => "not_sent",
         SendEnd::NotRun(_) => "not_run",
         SendEnd::Broken(_) => "broken",
     };
@@ -371,10 +373,16 @@
         Ok(answer) => answer,
         Err(error) => {
             log_send(host, call, journey, &place.name, &error.to_string());
-            host.state().directory.note_failure(now, &place.name);
             return match error {
-                ExchangeError::NotSent { .. } => SendEnd::NotRun(Duration::ZERO),
+                ExchangeError::NotSent { .. } => {
+                    host.state().directory.note_unreachable(now, &place.name);
+                    host.demand_changed.notify_one();
+                    journey.sends -= 1;
+                    journey.tried.retain(|name| *name != place.name);
+                    SendEnd::NotSent
+                }
                 ExchangeError::Broken { .. } => {
+                    host.state().directory.note_failure(now, &place.name);
                     journey.runs += 1;
                     report_break(host, place.flight, place.address);
                     SendEnd::Broken("upstream_silent_or_reset")
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -99,6 +99,11 @@
     host.desk.lock().lease.on_mark(host.now(), mark.fence, mark.row);
 }
 
+/// Takes in that the keeper no longer claims the lease: its row has to be looked at.
+pub fn on_given_up(host: &Host) {
+    host.desk.lock().lease.on_doubt();
+}
+
 /// Tells whether this host waits for a load to end.
 pub fn is_loading(host: &Host) -> bool {
     let desk = host.desk.lock();
@@ -106,12 +111,22 @@
 }
 
 /// Takes in what a host asks for.
-pub fn on_demand(host: &Host, from: &HostId, demands: Vec<(ServiceId, HostDemand)>) {
+pub fn on_demand(
+    host: &Host,
+    from: &HostId,
+    demands: &[(ServiceId, HostDemand)],
+    unreachable: &[UpstreamId],
+) {
     let now = host.now();
     let mut desk = host.desk.lock();
     if !desk.keeping {
         return;
     }
+    for plan in desk.plans.values_mut() {
+        for runner in unreachable {
+            plan.on_unreachable(now, runner);
+        }
+    }
     for (service, plan) in &mut desk.plans {
         let demand = demands.iter().find(|(of, _)| of == service);
         plan.on_demand(
@@ -290,9 +305,9 @@
                 take_over(host, &row, version);
             }
         }
-        Ok(None) => host.desk.lock().lease.on_write_failed(),
+        Ok(None) => host.desk.lock().lease.on_doubt(),
         Err(cause) => {
-            host.desk.lock().lease.on_write_failed();
+            host.desk.lock().lease.on_doubt();
             spdlog::warn!("keeper's lease cannot be written", kv: { cause = cause.as_str() });
             sleep(LEASE_LOOK).await;
         }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -29,8 +29,8 @@
 pub enum PeerNote {
     /// Sent to everyone, several times a second.
     Beat(HostBeat),
-    /// Sent to the keeper.
-    Demand(Vec<(ServiceId, HostDemand)>),
+    /// Sent to the keeper: what is asked of models, and upstreams that accept no connections.
+    Demand(Vec<(ServiceId, HostDemand)>, Vec<UpstreamId>),
     /// Sent by the keeper when what runners hold changes.
     Holdings(FenceNumber, Vec<RunnerHoldings>),
     /// A request crashed an upstream.
@@ -45,6 +45,8 @@
     pub leaving: bool,
     /// What it spent, by team.
     pub spending: Vec<TeamSpending>,
+    /// Requests that it runs, by upstream.
+    pub running: Vec<(UpstreamId, u32)>,
     /// The keeper's lease, if it holds it.
     pub keeper: Option<KeeperMark>,
     /// Other daemons that it hears; sent now and then.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Datagrams to and from the other daemons.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -111,6 +111,7 @@
     let beat = HostBeat {
         leaving: host.leaving.is_cancelled(),
         spending: state.levels.report(now),
+        running: state.own_runs(),
         keeper,
         peers: if introducing { known.iter().copied().collect() } else { Vec::new() },
     };
@@ -156,9 +157,14 @@
     let mut state = host.state();
     let known = state.peers.get(&from);
     let stranger = known.is_none_or(|known| known.incarnation != incarnation);
-    let leaving = known.is_some_and(|known| known.leaving && known.incarnation == incarnation);
-    let peer = KnownPeer { address: source, incarnation, heard: now, leaving };
-    state.peers.insert(from.clone(), peer);
+    if stranger {
+        let running = BTreeMap::new();
+        let peer = KnownPeer { address: source, incarnation, heard: now, leaving: false, running };
+        state.peers.insert(from.clone(), peer);
+    } else if let Some(peer) = state.peers.get_mut(&from) {
+        peer.heard = now;
+        peer.address = source;
+    }
     drop(state);
     if stranger {
         spdlog::info!("peer appeared", kv: {
@@ -169,7 +175,9 @@
     }
     match note {
         PeerNote::Beat(beat) => accept_beat(host, &from, incarnation, beat),
-        PeerNote::Demand(demands) => keeper::on_demand(host, &from, demands),
+        PeerNote::Demand(demands, unreachable) => {
+            keeper::on_demand(host, &from, &demands, &unreachable);
+        }
         PeerNote::Holdings(fence, holdings) => keeper::adopt_holdings(host, fence, holdings),
         PeerNote::Crash(report) => crashes::absorb(host, &report),
     }
@@ -184,6 +192,8 @@
     let now = host.now();
     let mut state = host.state();
     state.levels.absorb(now, from, incarnation, &beat.spending, beat.leaving);
+    let gave_up =
+        beat.keeper.is_none() && state.keeper.take_if(|keeper| keeper.host == *from).is_some();
     if let Some(mark) = beat.keeper {
         let newer = state.keeper.as_ref().is_none_or(|known| known.mark.fence <= mark.fence);
         if newer {
@@ -192,11 +202,14 @@
     }
     if let Some(peer) = state.peers.get_mut(from) {
         peer.leaving = beat.leaving;
+        peer.running = beat.running.iter().cloned().collect();
     }
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
     drop(state);
-    if let Some(mark) = beat.keeper {
-        keeper::on_mark(host, mark);
+    match beat.keeper {
+        Some(mark) => keeper::on_mark(host, mark),
+        None if gave_up => keeper::on_given_up(host),
+        None => {}
     }
     let strangers: Vec<SocketAddr> = beat
         .peers
@@ -218,17 +231,18 @@
         } else {
             host.demand_changed.notified().await;
         }
-        let (keeper, demands) = {
+        let (keeper, demands, unreachable) = {
             let mut state = host.state();
             let keeper = state.keeper.as_ref().map(|keeper| keeper.host.clone());
-            (keeper, state.take_demand())
+            let unreachable = state.directory.unreachable(host.now());
+            (keeper, state.take_demand(), unreachable)
         };
-        busy = !demands.is_empty();
+        busy = !demands.is_empty() || !unreachable.is_empty();
         match keeper {
             Some(keeper) if keeper == host.settings.host => {
-                keeper::on_demand(&host, &keeper, demands);
+                keeper::on_demand(&host, &keeper, &demands, &unreachable);
             }
-            Some(keeper) => send_to_host(&host, &keeper, &PeerNote::Demand(demands)),
+            Some(keeper) => send_to_host(&host, &keeper, &PeerNote::Demand(demands, unreachable)),
             None => {}
         }
         sleep(LEAST_DEMAND_PAUSE).await;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -185,7 +185,7 @@
                 }
                 SendEnd::Head(..) => self.journey.runs += 1,
                 SendEnd::NotRun(pause) => tokio::time::sleep(pause).await,
-                SendEnd::Broken(_) => {}
+                SendEnd::NotSent | SendEnd::Broken(_) => {}
             }
         }
         None
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -106,6 +106,7 @@
     host.holdings_changed.notify_waiters();
     peers::send_beat(host, false);
     keeper::release(host).await;
+    peers::send_beat(host, false);
     let lag = BALANCER_LAG.saturating_sub(host.now().since(started));
     sleep(lag).await;
     host.closing.cancel();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -60,6 +60,8 @@
     pub heard: ClockInstant,
     /// Whether it said that it leaves.
     pub leaving: bool,
+    /// Requests that it runs, by upstream.
+    pub running: BTreeMap<UpstreamId, u32>,
 }
 
 /// The keeper as this host knows it.
@@ -262,6 +264,21 @@
         demands.into_iter().collect()
     }
 
+    /// Returns the requests of all hosts that `runner` works on, as far as their beats tell.
+    pub fn all_runs_at(&self, runner: &UpstreamId) -> u32 {
+        let theirs = self.peers.values().filter_map(|peer| peer.running.get(runner));
+        self.runs_at(runner) + theirs.sum::<u32>()
+    }
+
+    /// Returns the requests of this host by upstream.
+    pub fn own_runs(&self) -> Vec<(UpstreamId, u32)> {
+        let mut runs: BTreeMap<&UpstreamId, u32> = BTreeMap::new();
+        for ((name, _), count) in &self.running {
+            *runs.entry(name).or_default() += count;
+        }
+        runs.into_iter().map(|(name, count)| (name.clone(), count)).collect()
+    }
+
     /// Returns the requests of this host that `runner` works on.
     pub fn runs_at(&self, runner: &UpstreamId) -> u32 {
         let from = (runner.clone(), None);
