Bound waiting and silence by the callers' patience

Callers give a silent stream up after 2 s, four objectives or eight pauses; requests waited for a model until their deadline, long after that. They wait for 0.6 of that patience, and a silent send goes elsewhere after half.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -34,8 +34,11 @@
 /// Time without an answer after which a repeatable call goes to another upstream.
 const REPEATABLE_SILENCE: Duration = Duration::from_millis(1_000);
 
-/// Time without an answer after which a stream that can go on elsewhere does so.
-const RESUMABLE_SILENCE: Duration = Duration::from_millis(2_500);
+/// Part of a caller's patience after which a silent send goes to another upstream.
+const SILENT_PART: f64 = 0.5;
+
+/// Part of a caller's patience for which a request waits for a runner to hold its model.
+const WAITING_PART: f64 = 0.6;
 
 /// Time for which requests still wait for a model after the daemon was asked to stop.
 const LEAVING_WAIT: Duration = Duration::from_millis(1_500);
@@ -254,6 +257,10 @@
         if left_at.is_some_and(|at| host.now().since(at) > LEAVING_WAIT) {
             return Err(GatewayRefusal::not_run("leaving", LEAVING_RETRY));
         }
+        let waited = host.now().since(started);
+        if waited > admission.route.patience().mul_f64(WAITING_PART) {
+            return Err(GatewayRefusal::not_run("no_place_soon", NO_PLACE_RETRY));
+        }
         if let Some(choice) = &call.head.model
             && waiting.is_none()
         {
@@ -335,8 +342,10 @@
     };
     let again = journey.runs + 1 < admission.route.attempts;
     let head_timeout = match admission.route.kind {
-        CallKind::Repeatable if again => remaining.min(REPEATABLE_SILENCE),
-        CallKind::ResumableStream if again => remaining.min(RESUMABLE_SILENCE),
+        CallKind::Repeatable if again => remaining.mul_f64(SILENT_PART).min(REPEATABLE_SILENCE),
+        CallKind::ResumableStream if again => {
+            remaining.min(admission.route.patience().mul_f64(SILENT_PART))
+        }
         _ => remaining,
     };
     let sending = Exchange {
--- a/crates/gateway/src/document.rs
+++ b/crates/gateway/src/document.rs
@@ -46,6 +46,8 @@
     pub timeout: Duration,
     /// Time within which an answer is on time.
     pub objective: Duration,
+    /// Longest pause between two events of a stream that is on time.
+    pub event_gap: Duration,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Services with their weights.
@@ -58,6 +60,26 @@
     pub sticky: bool,
 }
 
+/// Shortest time after which callers give a silent stream up.
+const LEAST_STREAM_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Objectives after which callers give a silent stream up.
+const PATIENCE_OBJECTIVES: u32 = 4;
+
+/// Allowed pauses after which callers give a silent stream up.
+const PATIENCE_GAPS: u32 = 8;
+
+impl HostRoute {
+    /// Returns how long callers wait for the first or next event of a stream, or for an answer.
+    pub fn patience(&self) -> Duration {
+        if !self.kind.is_stream() {
+            return self.timeout;
+        }
+        let longest = (self.objective * PATIENCE_OBJECTIVES).max(self.event_gap * PATIENCE_GAPS);
+        longest.max(LEAST_STREAM_PATIENCE).min(self.timeout)
+    }
+}
+
 /// A service: upstreams that give the same answers.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServiceEntry {
