Load a wanted model from a disk although a load from the store is under way

Ruled out: the weight store's limit. A model counts as coming only if it is there before a disk could have it; replicas never load from the store while a disk has it.

--- a/crates/decisions/src/weight_plan.rs
+++ b/crates/decisions/src/weight_plan.rs
@@ -63,6 +63,9 @@
 /// Requests at once that one replica of a model takes before another is added.
 const REPLICA_RUNS: f64 = 24.0;
 
+/// Time beyond a load from disk that requests wait for a load under way rather than start another.
+const SOON_MARGIN: Duration = Duration::from_millis(400);
+
 /// Span over which demand for a model is averaged.
 const DEMAND_SPAN: Duration = Duration::from_secs(5);
 
@@ -515,7 +518,7 @@
         }
         let mut wanted: Vec<(ModelId, u64)> = wanted
             .into_iter()
-            .filter(|(model, _)| self.copies(model) == 0)
+            .filter(|(model, _)| !self.is_ready_soon(model))
             .map(|(model, worth)| (model.clone(), worth))
             .collect();
         wanted.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
@@ -548,6 +551,30 @@
         (usage.rate / REPLICA_RATE).max(f64::from(runs) / REPLICA_RUNS).ceil().max(1.0)
     }
 
+    /// Tells whether a runner holds `model`, or will before one could load it from its disk.
+    fn is_ready_soon(&self, model: &ModelId) -> bool {
+        let Some(facts) = self.facts.models.get(model) else { return false };
+        let soon = self.now + facts.disk_load + SOON_MARGIN;
+        self.runners.values().filter(|runner| runner.is_usable(self.now)).any(|runner| {
+            let loading = runner.loading.as_ref();
+            let open = runner.open.as_ref().map(|open| &open.order);
+            runner.models.contains_key(model)
+                || loading.is_some_and(|loading| loading.model == *model && loading.due < soon)
+                || open.is_some_and(|order| {
+                    order.kind == OrderKind::Load
+                        && order.adapter.is_none()
+                        && order.model == *model
+                })
+        })
+    }
+
+    /// Tells whether a runner that does not hold `model` has it in its memory or on its disk.
+    fn has_near_copy(&self, model: &ModelId) -> bool {
+        let near = |runner: &PlanRunner| self.tier(runner, model) != LoadTier::Store;
+        let mut usable = self.runners.values().filter(|runner| runner.is_usable(self.now));
+        usable.any(|runner| !runner.models.contains_key(model) && near(runner))
+    }
+
     /// Runners that hold `model` or load it.
     fn copies(&self, model: &ModelId) -> usize {
         let holds = |runner: &&PlanRunner| {
@@ -714,7 +741,8 @@
             }
         }
         let Some((_, runner, tier, evicted)) = best else { return };
-        if tier == LoadTier::Store && ((wanted && held_busy) || !self.may_load_from_store(now)) {
+        let near_is_better = if wanted { held_busy } else { self.has_near_copy(model) };
+        if tier == LoadTier::Store && (near_is_better || !self.may_load_from_store(now)) {
             return;
         }
         self.order_load(now, runner, model.clone(), tier, evicted, orders);
