--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -14,8 +14,14 @@
 /// Time for which an upstream that failed is passed over while others are sound.
 pub const FAILURE_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// Time for which an upstream that accepted no connection gets no requests.
-pub const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time for which an upstream where nobody listens gets no requests, unless it is heard of.
+pub const REFUSED_PAUSE: Duration = Duration::from_secs(4);
+
+/// Time for which an upstream to which no connection opened in time gets no requests.
+pub const UNREACHABLE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time after a refused connection in which the directory may still show rows from before.
+const UNREACHABLE_LAG: Duration = Duration::from_millis(1_500);
 
 /// Time after the keeper told what an upstream holds in which rows do not overrule it.
 const KEEPER_MEMORY: Duration = Duration::from_millis(2_800);
@@ -35,7 +41,8 @@
     /// When its row went missing.
     lapsed: Option<ClockInstant>,
     failed: Option<ClockInstant>,
-    refused: Option<ClockInstant>,
+    /// When no connection opened, and until when it gets no requests for that.
+    unreachable: Option<(ClockInstant, ClockInstant)>,
     misses: BTreeMap<ModelChoice, ClockInstant>,
 }
 
@@ -49,7 +56,7 @@
 
     /// Tells whether it accepted no connection a moment ago.
     fn is_unreachable(&self, now: ClockInstant) -> bool {
-        self.refused.is_some_and(|refused| now.since(refused) < UNREACHABLE_PAUSE)
+        self.unreachable.is_some_and(|(_, until)| now < until)
     }
 
     /// Tells whether it failed a moment ago.
@@ -88,6 +95,9 @@
             if known.told.is_none_or(|told| now.since(told) > KEEPER_MEMORY) {
                 known.held.clone_from(&report.held);
             }
+            let alive = report.beat > known.entry.report.beat;
+            let recent = |at: ClockInstant| now.since(at) < UNREACHABLE_LAG;
+            known.unreachable = known.unreachable.filter(|(at, _)| !alive || recent(*at));
             known.entry = entry;
             known.lapsed = None;
             return true;
@@ -98,7 +108,7 @@
             entry,
             lapsed: None,
             failed: None,
-            refused: None,
+            unreachable: None,
             misses: BTreeMap::new(),
         };
         self.upstreams.insert(name, known);
@@ -145,9 +155,9 @@
     }
 
     /// Notes that an upstream accepted no connection.
-    pub fn note_unreachable(&mut self, now: ClockInstant, name: &UpstreamId) {
+    pub fn note_unreachable(&mut self, now: ClockInstant, name: &UpstreamId, pause: Duration) {
         if let Some(known) = self.upstreams.get_mut(name) {
-            known.refused = Some(now);
+            known.unreachable = Some((now, now + pause));
         }
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::body::GatewayBody;
 use crate::call::{AnswerKind, SendHead};
 use crate::crashes::{FlightHold, fingerprint_of, report_break};
+use crate::directory::{REFUSED_PAUSE, UNREACHABLE_PAUSE};
 use crate::document::CallKind;
 use crate::exchange::{Exchange, ExchangeError, exchange, read_whole};
 use crate::refusal::GatewayRefusal;
@@ -383,8 +384,9 @@
         Err(error) => {
             log_send(host, call, journey, &place.name, &error.to_string());
             return match error {
-                ExchangeError::NotSent { .. } => {
-                    host.state().directory.note_unreachable(now, &place.name);
+                ExchangeError::NotSent { refused, .. } => {
+                    let pause = if refused { REFUSED_PAUSE } else { UNREACHABLE_PAUSE };
+                    host.state().directory.note_unreachable(now, &place.name, pause);
                     host.demand_changed.notify_one();
                     journey.sends -= 1;
                     journey.tried.retain(|name| *name != place.name);
@@ -417,7 +419,8 @@
         }
         AnswerKind::Stranger => {
             log_send(host, call, journey, &place.name, "another upstream has its address");
-            host.state().directory.note_failure(now, &place.name);
+            host.state().directory.note_unreachable(now, &place.name, REFUSED_PAUSE);
+            host.demand_changed.notify_one();
             SendEnd::NotRun(Duration::ZERO)
         }
         AnswerKind::Foreign(cause) => {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 //! A connection carries one call: what an upstream sends beyond its answer, or late, then cannot
 //! reach another request.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -33,6 +34,8 @@
         peer: SocketAddr,
         /// What was seen.
         cause: String,
+        /// Whether nobody listens there.
+        refused: bool,
     },
     /// The request was sent, at least in part.
     #[error("{step} at {peer}: {cause}")]
@@ -69,11 +72,15 @@
 /// Fails if no answer comes in time; the error tells whether anything was sent.
 pub async fn exchange(call: Exchange<'_>) -> Result<Response<Incoming>, ExchangeError> {
     let peer = call.peer;
-    let not_sent = |cause: String| ExchangeError::NotSent { peer, cause };
+    let not_sent = |cause: String| ExchangeError::NotSent { peer, cause, refused: false };
     let opening = timeout(CONNECT_TIMEOUT.min(call.head_timeout), connect_tcp(peer)).await;
     let stream = opening
         .map_err(|_elapsed| not_sent(format!("no connection within {CONNECT_TIMEOUT:?}")))?
-        .map_err(|error| not_sent(error.to_string()))?;
+        .map_err(|error| ExchangeError::NotSent {
+            peer,
+            cause: error.to_string(),
+            refused: error.kind() == ErrorKind::ConnectionRefused,
+        })?;
     let (mut sender, driver) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| not_sent(error.to_string()))?;
