--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -79,6 +79,8 @@
     pub name: UpstreamId,
     /// Address.
     pub address: SocketAddr,
+    /// Whether another upstream could run the request, that it was not sent to.
+    pub replaceable: bool,
     /// Counts the request as running there.
     pub hold: RunHold,
     /// Counts the request among those that may crash the upstream.
@@ -308,6 +310,7 @@
         return Ok(None);
     };
     let name = chosen.name.clone();
+    let replaceable = candidates.iter().any(|one| one.name != name && !one.tried && !one.failing);
     let Some(address) = state.directory.get(&name).map(|known| known.entry.address) else {
         return Ok(None);
     };
@@ -316,7 +319,7 @@
     }
     let flight = FlightHold::new(host, journey.fingerprint, name.clone());
     let hold = RunHold::new(host, &mut state, name.clone(), call.head.model.clone());
-    Ok(Some(FoundPlace { name, address, hold, flight }))
+    Ok(Some(FoundPlace { name, address, replaceable, hold, flight }))
 }
 
 /// Sends the request to an upstream and waits for the head of the answer.
@@ -341,7 +344,8 @@
         priority: call.head.model.as_ref().map(|_| priority),
         last_event: journey.last_event.as_deref(),
     };
-    let again = journey.runs + 1 < admission.route.attempts;
+    // Where nobody else could run it, its place in the queue is worth more than another try.
+    let again = place.replaceable && journey.runs + 1 < admission.route.attempts;
     let head_timeout = match admission.route.kind {
         CallKind::Repeatable if again => remaining.mul_f64(SILENT_PART).min(REPEATABLE_SILENCE),
         CallKind::ResumableStream if again => {
