--- a/crates/decisions/src/keeper_lease.rs
+++ b/crates/decisions/src/keeper_lease.rs
@@ -11,13 +11,13 @@
 use serde::{Deserialize, Serialize};
 
 /// Time after the start of a renewal during which its holder orders.
-pub const LEASE_SPAN: Duration = Duration::from_millis(2_000);
+pub const LEASE_SPAN: Duration = Duration::from_millis(1_300);
 
 /// Time between two renewals.
-pub const RENEWAL_PAUSE: Duration = Duration::from_millis(700);
+pub const RENEWAL_PAUSE: Duration = Duration::from_millis(450);
 
 /// Time that the end of a lease is kept clear of, for clocks that drift and calls under way.
-pub const LEASE_MARGIN: Duration = Duration::from_millis(150);
+pub const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
 /// Content of the lease's row.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -29,7 +29,7 @@
 const KEEPER_SILENCE: Duration = Duration::from_millis(700);
 
 /// Further silence for each candidate that comes before.
-const CANDIDATE_STEP: Duration = Duration::from_millis(600);
+const CANDIDATE_STEP: Duration = Duration::from_millis(300);
 
 /// Milliseconds within which hosts count as started at the same time.
 const START_ROUNDING_MS: u64 = 2_000;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -43,6 +43,8 @@
 pub struct HostBeat {
     /// Whether the host leaves now.
     pub leaving: bool,
+    /// Whether the store answers it.
+    pub fresh: bool,
     /// What it spent, by team.
     pub spending: Vec<TeamSpending>,
     /// Requests that it runs, by upstream.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -110,6 +110,7 @@
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
     let beat = HostBeat {
         leaving: host.leaving.is_cancelled(),
+        fresh: state.is_fresh(now, host.settings.freshness),
         spending: state.levels.report(now),
         running: state.own_runs(),
         keeper,
@@ -159,7 +160,14 @@
     let stranger = known.is_none_or(|known| known.incarnation != incarnation);
     if stranger {
         let running = BTreeMap::new();
-        let peer = KnownPeer { address: source, incarnation, heard: now, leaving: false, running };
+        let peer = KnownPeer {
+            address: source,
+            incarnation,
+            heard: now,
+            leaving: false,
+            fresh: false,
+            running,
+        };
         state.peers.insert(from.clone(), peer);
     } else if let Some(peer) = state.peers.get_mut(&from) {
         peer.heard = now;
@@ -202,6 +210,7 @@
     }
     if let Some(peer) = state.peers.get_mut(from) {
         peer.leaving = beat.leaving;
+        peer.fresh = beat.fresh;
         peer.running = beat.running.iter().cloned().collect();
     }
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -60,6 +60,8 @@
     pub heard: ClockInstant,
     /// Whether it said that it leaves.
     pub leaving: bool,
+    /// Whether the store answers it, as it said.
+    pub fresh: bool,
     /// Requests that it runs, by upstream.
     pub running: BTreeMap<UpstreamId, u32>,
 }
