--- a/crates/decisions/src/team_levels.rs
+++ b/crates/decisions/src/team_levels.rs
@@ -33,6 +33,32 @@
     pub burst: f64,
 }
 
+/// How far the fleet may exceed a limit within a window.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LimitTolerance {
+    /// Part of what the limit allows in a window.
+    pub excess: f64,
+    /// Tokens besides.
+    pub slack: f64,
+}
+
+/// Part of the tolerance of the rate that is lent to teams; the rest covers reports under way.
+const LENT_RATE: f64 = 0.6;
+
+/// Part of the tolerance of the burst that is lent to teams.
+const LENT_BURST: f64 = 0.6;
+
+/// Part of a burst with which a host starts that has heard no peer, after all lost their memory.
+const FIRST_LEVEL: f64 = 0.25;
+
+impl TeamLimit {
+    /// Returns the limit that a fleet can keep to that knows its spending a little late.
+    pub fn lent(self, tolerance: LimitTolerance) -> Self {
+        let burst = self.burst * (1.0 + tolerance.excess) + tolerance.slack * LENT_BURST;
+        Self { rate: self.rate * (1.0 + tolerance.excess * LENT_RATE), burst }
+    }
+}
+
 /// What one host spent for one team since its start, and the level it believes in.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -100,7 +126,7 @@
                     entry
                 }
                 None => {
-                    let first = if self.starts_full { limit.burst } else { 0.0 };
+                    let first = if self.starts_full { 1.0 } else { FIRST_LEVEL } * limit.burst;
                     let level =
                         self.learned.get(&team).map_or(first, |heard| heard.min(limit.burst));
                     TeamLevel { limit, level, at: now, spent: 0 }
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -141,7 +141,11 @@
     };
     let now = host.now();
     let mut state = host.state();
-    let limits = document.teams.iter().map(|team| (team.name.clone(), team.limit));
+    let tolerance = host.settings.tolerance;
+    let limits = document.teams.iter().map(|team| {
+        let limit = if team.counts_tokens { team.limit.lent(tolerance) } else { team.limit };
+        (team.name.clone(), limit)
+    });
     state.levels.set_limits(now, limits);
     state.document = Some(document.clone());
     state.document_version = version;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dotterellane_decisions::team_levels::LimitTolerance;
 use dotterellane_units::{DomainId, HostId};
 
 /// Settings of one host's daemon.
@@ -34,6 +35,8 @@
     pub resend_slack: f64,
     /// Span over which further sends are counted.
     pub resend_window: Duration,
+    /// How far the fleet may exceed a team's limit in tokens.
+    pub tolerance: LimitTolerance,
     /// Time between the last order of one keeper and the first of the next.
     pub keeper_gap: Duration,
 }
