--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod raw_http;
 pub mod runner;
 pub mod service;
+pub mod site;
 pub mod weight_store;
 
 pub use faulty_runner::{FaultyRunner, RunnerFault};
--- /dev/null
+++ b/crates/standins/src/site/engine.rs
@@ -0,0 +1,296 @@
+//! A runner of the platform: requests, streams of events, orders and reports over HTTP.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::http_server::{AnswerBody, StandinServer, start, whole_answer};
+
+/// Time between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(5);
+
+/// What goes wrong with one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EngineFault {
+    /// It says that it did not run the request.
+    NotRun,
+    /// It runs the request and breaks the connection without an answer.
+    LosesAnswer,
+    /// It breaks its stream off in the middle of the event with this number.
+    BreaksAt(u64),
+    /// It answers another request.
+    Foreign,
+    /// It answers 500.
+    Fails,
+    /// It takes this long, in milliseconds.
+    Slow(u64),
+}
+
+/// A request that reached the runner.
+#[derive(Clone, Debug)]
+pub struct SeenRequest {
+    /// The caller's id.
+    pub id: String,
+    /// Path and query.
+    pub target: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Whether it ran.
+    pub ran: bool,
+}
+
+#[derive(Debug, Default)]
+struct EngineState {
+    models: BTreeMap<String, BTreeSet<String>>,
+    disk: BTreeSet<String>,
+    accepted: u64,
+    orders: Vec<Value>,
+    faults: VecDeque<EngineFault>,
+    seen: Vec<SeenRequest>,
+    events: u64,
+    busy: bool,
+}
+
+/// A runner on a loopback port.
+#[derive(Debug)]
+pub struct SiteEngine {
+    /// Its id.
+    pub name: String,
+    state: Arc<Mutex<EngineState>>,
+    server: StandinServer,
+}
+
+impl SiteEngine {
+    /// Starts a runner that holds `models`, has `disk` on its disk and answers with `events` events.
+    ///
+    /// # Errors
+    /// Fails if no port can be had.
+    pub async fn start(name: &str, models: &[&str], disk: &[&str]) -> std::io::Result<Self> {
+        let state = EngineState {
+            models: models.iter().map(|name| ((*name).to_owned(), BTreeSet::new())).collect(),
+            disk: disk.iter().map(|name| (*name).to_owned()).collect(),
+            events: 6,
+            ..EngineState::default()
+        };
+        let state = Arc::new(Mutex::new(state));
+        let (of_server, own_name) = (state.clone(), name.to_owned());
+        let server =
+            start(move |request| answer(own_name.clone(), of_server.clone(), request)).await?;
+        Ok(Self { name: name.to_owned(), state, server })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Returns the row that the runner writes into the store.
+    pub fn row(&self, service: &str, beat: u64, draining: bool) -> Vec<u8> {
+        let state = lock(&self.state);
+        let stage = if draining { "draining" } else { "ready" };
+        json!({
+            "backend": service, "addr": self.server.address.to_string(), "zone": "z1",
+            "revision": "v1", "slots": 8, "state": stage, "cold_left_ms": 0, "sequence": beat,
+            "born": 1, "stage": "both", "models": state.model_list(),
+            "available": {"mem_held": [], "disk_held": state.disk},
+        })
+        .to_string()
+        .into_bytes()
+    }
+
+    /// Lets the next request meet a fault.
+    pub fn push_fault(&self, fault: EngineFault) {
+        lock(&self.state).faults.push_back(fault);
+    }
+
+    /// Returns the requests that reached the runner.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        lock(&self.state).seen.clone()
+    }
+
+    /// Returns the orders that reached the runner.
+    pub fn orders(&self) -> Vec<Value> {
+        lock(&self.state).orders.clone()
+    }
+}
+
+impl EngineState {
+    fn model_list(&self) -> Vec<Value> {
+        let models = self.models.iter();
+        models
+            .map(|(name, adapters)| json!({"name": name, "revision": 1, "adapters": adapters}))
+            .collect()
+    }
+
+    fn holds(&self, choice: &str) -> bool {
+        match choice.split_once('/') {
+            None => self.models.contains_key(choice),
+            Some((model, adapter)) => {
+                self.models.get(model).is_some_and(|adapters| adapters.contains(adapter))
+            }
+        }
+    }
+}
+
+fn lock(state: &Mutex<EngineState>) -> MutexGuard<'_, EngineState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn answer(
+    name: String,
+    state: Arc<Mutex<EngineState>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+    let text = |header: &str| {
+        parts.headers.get(header).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
+    };
+    let expected = text("x-expect-instance");
+    if !expected.is_empty() && expected != name {
+        let mut answer = plain(StatusCode::MISDIRECTED_REQUEST);
+        set(&mut answer, "x-instance", &name);
+        return answer;
+    }
+    match parts.uri.path() {
+        "/report" => {
+            let state = lock(&state);
+            let report = json!({
+                "stage": "both", "state": "ready", "models": state.model_list(),
+                "busy": state.busy, "sequence": state.accepted, "born": 1,
+                "available": {"mem_held": [], "disk_held": state.disk},
+            });
+            return whole_answer(StatusCode::OK, "application/json", report.to_string());
+        }
+        "/order" => return obey(&state, &body),
+        _ => {}
+    }
+    let id = text("x-request-id");
+    let choice = text("x-model");
+    let (fault, events, ran) = {
+        let mut state = lock(&state);
+        let fault = state.faults.pop_front();
+        let absent = !choice.is_empty() && !state.holds(&choice);
+        let ran = !absent && fault != Some(EngineFault::NotRun);
+        state.seen.push(SeenRequest {
+            id: id.clone(),
+            target: parts.uri.to_string(),
+            headers: parts.headers.clone(),
+            body,
+            ran,
+        });
+        if absent {
+            return plain(StatusCode::MISDIRECTED_REQUEST);
+        }
+        (fault, state.events, ran)
+    };
+    if !ran {
+        let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
+        set(&mut answer, "x-not-run", "1");
+        return answer;
+    }
+    if let Some(EngineFault::Slow(millis)) = fault {
+        sleep(Duration::from_millis(millis)).await;
+    }
+    let mut answer = match fault {
+        Some(EngineFault::LosesAnswer) => broken_answer(),
+        Some(EngineFault::Fails) => plain(StatusCode::INTERNAL_SERVER_ERROR),
+        _ if choice.is_empty() => whole_answer(StatusCode::OK, "text/plain", format!("done {id}")),
+        _ => {
+            let after = text("last-event-id").parse().unwrap_or(0);
+            let breaks = match fault {
+                Some(EngineFault::BreaksAt(number)) => Some(number),
+                _ => None,
+            };
+            stream_answer(after, events, breaks)
+        }
+    };
+    let echoed = if fault == Some(EngineFault::Foreign) { "another" } else { id.as_str() };
+    set(&mut answer, "x-request-id", echoed);
+    set(&mut answer, "x-server-seal", &format!("seal.{name}"));
+    answer
+}
+
+fn obey(state: &Mutex<EngineState>, body: &Bytes) -> Response<AnswerBody> {
+    let Ok(order) = serde_json::from_slice::<Value>(body) else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    let mut state = lock(state);
+    state.orders.push(order.clone());
+    if order["expect"].as_u64().is_some_and(|expected| expected != state.accepted) {
+        return plain(StatusCode::CONFLICT);
+    }
+    let model = order["model"].as_str().unwrap_or("").to_owned();
+    match (order["opcode"].as_str(), order["adapter"].as_str()) {
+        (Some("load"), None) => {
+            state.models.entry(model.clone()).or_default();
+            state.disk.insert(model);
+        }
+        (Some("load"), Some(adapter)) => {
+            let adapter = adapter.to_owned();
+            state.models.entry(model).or_default().insert(adapter);
+        }
+        (Some("unload"), None) => {
+            state.models.remove(&model);
+        }
+        (Some("unload"), Some(adapter)) => {
+            if let Some(adapters) = state.models.get_mut(&model) {
+                adapters.remove(adapter);
+            }
+        }
+        _ => return plain(StatusCode::BAD_REQUEST),
+    }
+    state.accepted += 1;
+    plain(StatusCode::ACCEPTED)
+}
+
+fn event(number: u64) -> Bytes {
+    Bytes::from(format!("id: {number}\ndata: piece {number}\n\n"))
+}
+
+fn stream_answer(after: u64, events: u64, breaks: Option<u64>) -> Response<AnswerBody> {
+    let pieces =
+        (after + 1..=events).take_while(move |number| breaks.is_none_or(|at| *number <= at));
+    let pieces = stream::iter(pieces).then(move |number| async move {
+        sleep(EVENT_PAUSE).await;
+        match breaks {
+            Some(at) if at == number => vec![
+                Ok(Frame::data(event(number).slice(..8))),
+                Err(std::io::Error::other("broken off")),
+            ],
+            _ => vec![Ok(Frame::data(event(number)))],
+        }
+    });
+    let pieces = pieces.flat_map(stream::iter);
+    let mut answer = Response::new(StreamBody::new(pieces).boxed_unsync());
+    set(&mut answer, "content-type", "text/event-stream");
+    answer
+}
+
+fn broken_answer() -> Response<AnswerBody> {
+    let pieces = stream::iter([Err(std::io::Error::other("lost"))]);
+    let mut answer = Response::new(StreamBody::new(pieces).boxed_unsync());
+    set(&mut answer, "content-length", "100");
+    answer
+}
+
+fn plain(code: StatusCode) -> Response<AnswerBody> {
+    whole_answer(code, "text/plain", "")
+}
+
+fn set(answer: &mut Response<AnswerBody>, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        answer.headers_mut().insert(name, value);
+    }
+}
