Name the finish reason with a stream's last word in the stand-in engine

An unchanged OpenAI client waits for it; the events keep their number, which resumed streams count by. The new test fails on the earlier stand-in.

--- a/crates/decisions/tests/team_levels.rs
+++ b/crates/decisions/tests/team_levels.rs
@@ -114,7 +114,7 @@
     for step in 0..180 {
         let now = at(step * 100);
         let round = fleet.spend_all(now, 50);
-        if step >= 10 && step < 90 {
+        if (10..90).contains(&step) {
             spent += round;
         }
         fleet.report(now, &[], |from, to| (from < 3) == (to < 3));
--- a/crates/decisions/tests/weight_plan.rs
+++ b/crates/decisions/tests/weight_plan.rs
@@ -270,7 +270,7 @@
             if self.random.random_bool(self.troubles.crashes) {
                 self.runners[index].restart();
             }
-            if now % 1_000 == 0 {
+            if now.is_multiple_of(1_000) {
                 self.runners[index].beat += 1;
                 let mut row = self.runners[index].snapshot();
                 row.accepted = None;
--- a/crates/standins/src/runner/serving.rs
+++ b/crates/standins/src/runner/serving.rs
@@ -127,7 +127,7 @@
             .iter()
             .enumerate()
             .skip(resume_from)
-            .map(|(index, word)| (u32::from(index > resume_from), text.word_event(word)))
+            .map(|(index, word)| (u32::from(index > resume_from), text.word_event(index, word)))
             .chain(last)
             .collect();
         let frames = stream::iter(events).then(move |(gaps, event)| async move {
@@ -193,10 +193,12 @@
         format!("data: {chunk}\n\n")
     }
 
-    fn word_event(&self, word: &str) -> String {
+    /// The last word's event says why the text ends, which clients wait for.
+    fn word_event(&self, index: usize, word: &str) -> String {
+        let reason = (index + 1 == self.words.len()).then_some("length");
         let choice = match self.chat {
-            true => json!({"index": 0, "delta": {"content": word}, "finish_reason": null}),
-            false => json!({"index": 0, "text": word, "finish_reason": null}),
+            true => json!({"index": 0, "delta": {"content": word}, "finish_reason": reason}),
+            false => json!({"index": 0, "text": word, "finish_reason": reason}),
         };
         self.event(json!([choice]), Value::Null)
     }
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -40,12 +40,15 @@
     version: u64,
 }
 
+/// Rows by table and key.
+type StoredRows = BTreeMap<(String, String), StoredRow>;
+
 #[derive(Debug, Default)]
 struct StoreState {
-    rows: BTreeMap<(String, String), StoredRow>,
+    rows: StoredRows,
     version: u64,
     forgotten: u64,
-    stale: Option<(BTreeMap<(String, String), StoredRow>, u64)>,
+    stale: Option<(StoredRows, u64)>,
     fault: StoreFault,
     calls: u64,
 }
--- a/crates/standins/tests/runner_control.rs
+++ b/crates/standins/tests/runner_control.rs
@@ -77,3 +77,31 @@
     expect_that!(lane.advance(ClockInstant::from_millis(3_990)), is_empty());
     expect_that!(lane.advance(ClockInstant::from_millis(4_001)), elements_are![eq(&long)]);
 }
+
+#[gtest]
+#[tokio::test]
+async fn stream_last_word_names_its_finish_reason() -> googletest::Result<()> {
+    let runner = StandinRunner::new(RunnerOptions::default());
+    let server = runner.start().await.or_fail()?;
+    let orders = RunnerOrders::http(server.address);
+    orders.load(load_order(1)).await.or_fail()?;
+    let body = r#"{"model":"draft-7b","prompt":"one two","max_tokens":3,"stream":true}"#;
+    let client = hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new())
+        .build_http();
+    for path in ["/v1/completions", "/v1/chat/completions"] {
+        let request = http::Request::post(format!("http://{}{path}", server.address))
+            .header("content-type", "application/json")
+            .body(http_body_util::Full::new(bytes::Bytes::from(body)))
+            .or_fail()?;
+        let answer = client.request(request).await.or_fail()?.into_body();
+        let text = http_body_util::BodyExt::collect(answer).await.or_fail()?.to_bytes();
+        let text = String::from_utf8_lossy(&text).into_owned();
+        let named: Vec<bool> = text
+            .lines()
+            .filter(|line| line.contains(r#""index":0"#))
+            .map(|line| line.contains(r#""finish_reason":"length""#))
+            .collect();
+        expect_that!(named, eq(&vec![false, false, true]), "{path}");
+    }
+    Ok(())
+}
