Fill free places from disks before anyone asks

Cause: runners that started anew kept their disks but stayed empty until requests waited for a model. Ruled out: loads from the store. Free places take the models that are asked for most and that nobody holds, from memory or disk only.

--- a/crates/decisions/src/weight_plan.rs
+++ b/crates/decisions/src/weight_plan.rs
@@ -267,6 +267,11 @@
 }
 
 impl PlanRunner {
+    /// Tells whether room is kept for a model there.
+    fn is_reserved(&self, now: ClockInstant) -> bool {
+        self.reserved.as_ref().is_some_and(|(_, until)| *until > now)
+    }
+
     /// Tells whether requests and orders may go to it.
     fn is_usable(&self, now: ClockInstant) -> bool {
         !self.report.draining && self.unreachable.is_none_or(|until| until <= now)
@@ -490,6 +495,7 @@
             self.plan_replica(now, &model, &mut orders);
         }
         self.plan_first_loads(now, &mut orders);
+        self.fill_places(now, &mut orders);
         orders
     }
 
@@ -804,6 +810,36 @@
         }
     }
 
+    /// Fills places that are free, such as those of runners that started anew, with the models that
+    /// are asked for most and that nobody holds.
+    fn fill_places(&mut self, now: ClockInstant, orders: &mut Vec<PlannedOrder>) {
+        let mut idle: Vec<(f64, ModelId)> = self
+            .facts
+            .models
+            .keys()
+            .filter(|model| self.copies(model) == 0)
+            .map(|model| (self.uses.get(model).map_or(0.0, |usage| usage.rate), model.clone()))
+            .collect();
+        idle.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        let names: Vec<UpstreamId> = self.runners.keys().cloned().collect();
+        for name in names {
+            let runner = &self.runners[&name];
+            if !runner.is_usable(now) || !is_idle(runner, now) || runner.is_reserved(now) {
+                continue;
+            }
+            let fits = |model: &ModelId| {
+                let room = self.evictions(now, &name, self.weights(model));
+                room.is_some_and(|(evicted, _)| evicted.is_empty())
+            };
+            let near = |model: &ModelId| self.tier(runner, model) != LoadTier::Store;
+            let chosen = idle.iter().position(|(_, model)| near(model) && fits(model));
+            let Some(index) = chosen else { continue };
+            let (_, model) = idle.remove(index);
+            let tier = self.tier(runner, &model);
+            self.order_load(now, name, model, tier, Vec::new(), orders);
+        }
+    }
+
     /// Plans adapters that requests wait for, on runners that hold their model.
     fn plan_adapters(&mut self, now: ClockInstant, orders: &mut Vec<PlannedOrder>) {
         let mut wanted: BTreeMap<(ModelId, AdapterId), u64> = BTreeMap::new();
