--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -12,7 +12,7 @@
 
 use crate::body::GatewayBody;
 use crate::call::{CallHead, ModelChoice};
-use crate::dispatch::dispatch;
+use crate::dispatch::{ChoiceTrace, dispatch};
 use crate::document::HostRoute;
 use crate::refusal::GatewayRefusal;
 use crate::state::{Host, HostState};
@@ -175,7 +175,10 @@
     let now = host.now();
     let took = now.since(call.arrived);
     let (mut response, reason) = match answered {
-        Ok(response) => (response, "upstream"),
+        Ok(response) => {
+            log_answer(host, call, &response, took);
+            (response, "upstream")
+        }
         Err(refusal) => {
             let reason = refusal.reason;
             log_refusal(host, call, &refusal, took);
@@ -190,6 +193,24 @@
     response
 }
 
+fn log_answer(host: &Host, call: &GatewayCall, response: &Response<GatewayBody>, took: Duration) {
+    let Some(trace) = response.extensions().get::<ChoiceTrace>() else { return };
+    let state = host.state();
+    let revision = state.document.as_ref().map_or(0, |document| document.revision);
+    drop(state);
+    spdlog::info!("request answered", kv: {
+        request = call.head.request.as_str(),
+        status = response.status().as_u16(),
+        upstream = trace.upstream.as_str(),
+        model = model_text(call.head.model.as_ref()).as_str(),
+        candidates = trace.candidates,
+        running = trace.running,
+        sends = trace.sends,
+        after_ms = took.as_millis() as u64,
+        configuration = revision,
+    });
+}
+
 fn log_refusal(host: &Host, call: &GatewayCall, refusal: &GatewayRefusal, took: Duration) {
     let now = host.now();
     let state = host.state();
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -72,6 +72,19 @@
     pub fingerprint: RequestFingerprint,
 }
 
+/// What decided where a request went, for its log line.
+#[derive(Clone, Debug)]
+pub struct ChoiceTrace {
+    /// Upstream that answered.
+    pub upstream: UpstreamId,
+    /// Upstreams that could have run the request.
+    pub candidates: usize,
+    /// Requests that the upstream was known to run then.
+    pub running: u32,
+    /// Sends up to the answer.
+    pub sends: u32,
+}
+
 /// An upstream that was found for a request.
 #[derive(Debug)]
 pub struct FoundPlace {
@@ -81,6 +94,10 @@
     pub address: SocketAddr,
     /// Whether another upstream could run the request, that it was not sent to.
     pub replaceable: bool,
+    /// Upstreams that could run the request.
+    pub candidates: usize,
+    /// Requests that it was known to run.
+    pub running: u32,
     /// Counts the request as running there.
     pub hold: RunHold,
     /// Counts the request among those that may crash the upstream.
@@ -118,11 +135,20 @@
         };
         match send(host, call, &admission, &mut journey, place).await {
             SendEnd::Head(place, head) => {
+                let trace = ChoiceTrace {
+                    upstream: place.name.clone(),
+                    candidates: place.candidates,
+                    running: place.running,
+                    sends: journey.sends,
+                };
                 if head.status().is_success() && admission.route.kind.is_stream() {
-                    return Ok(start_relay(host, call, admission, journey, place, *head));
+                    let mut answer = start_relay(host, call, admission, journey, place, *head);
+                    answer.extensions_mut().insert(trace);
+                    return Ok(answer);
                 }
                 match finish_whole(host, call, &mut journey, place, *head).await {
-                    Some(answer) => {
+                    Some(mut answer) => {
+                        answer.extensions_mut().insert(trace);
                         let failed = answer.status().is_server_error();
                         if !failed || !journey.may_run_again(host, &admission) {
                             return Ok(answer);
@@ -311,6 +337,7 @@
     };
     let name = chosen.name.clone();
     let replaceable = candidates.iter().any(|one| one.name != name && !one.tried && !one.failing);
+    let running = chosen.running;
     let Some(address) = state.directory.get(&name).map(|known| known.entry.address) else {
         return Ok(None);
     };
@@ -319,7 +346,8 @@
     }
     let flight = FlightHold::new(host, journey.fingerprint, name.clone());
     let hold = RunHold::new(host, &mut state, name.clone(), call.head.model.clone());
-    Ok(Some(FoundPlace { name, address, replaceable, hold, flight }))
+    let candidates = candidates.len();
+    Ok(Some(FoundPlace { name, address, replaceable, candidates, running, hold, flight }))
 }
 
 /// Sends the request to an upstream and waits for the head of the answer.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -83,6 +83,11 @@
             let (name, address) = (place.name.clone(), place.address);
             match self.relay_leg(head).await {
                 LegEnd::Whole => {
+                    spdlog::info!("stream ended whole", kv: {
+                        request = self.call.head.request.as_str(),
+                        upstream = name.as_str(),
+                        after_ms = self.host.now().since(self.call.arrived).as_millis() as u64,
+                    });
                     place.flight.completed();
                     let rest = self.cutter.rest();
                     if !rest.is_empty() {
@@ -90,7 +95,10 @@
                     }
                     return;
                 }
-                LegEnd::CallerLeft => return,
+                LegEnd::CallerLeft => {
+                    self.log(name.as_str(), "the caller left");
+                    return;
+                }
                 LegEnd::Late => {
                     self.log(name.as_str(), "the deadline passed");
                     break;
