--- /dev/null
+++ b/crates/decisions/tests/keeper_lease.rs
@@ -0,0 +1,219 @@
+//! Who may give orders, under cuts, freezes and writes whose fate is unknown.
+
+use std::time::Duration;
+
+use dotterellane_decisions::keeper_lease::{
+    KeeperLease, LEASE_MARGIN, LEASE_SPAN, LeaseRow, LeaseStep, RENEWAL_PAUSE,
+};
+use dotterellane_units::{ClockInstant, FenceNumber, HostId, HostIncarnation, RowVersion};
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const GAP: Duration = Duration::from_secs(3);
+
+fn at(millis: u64) -> ClockInstant {
+    ClockInstant::from_millis(1_000_000 + millis)
+}
+
+fn host(index: usize) -> HostId {
+    format!("host-{index}").parse().expect("valid id")
+}
+
+fn candidate(index: usize) -> KeeperLease {
+    KeeperLease::new(host(index), HostIncarnation(1), GAP)
+}
+
+/// Takes the lease for `lease` at `now` from an absent row.
+fn take_first(lease: &mut KeeperLease, now: ClockInstant) -> LeaseRow {
+    lease.on_row(now, RowVersion(0), None);
+    let LeaseStep::Write { expected, row } = lease.next_step(now) else { panic!("no write") };
+    assert_that!(expected, eq(RowVersion(0)));
+    lease.on_written(now, RowVersion(5), row.clone());
+    row
+}
+
+#[gtest]
+fn lease_is_read_before_it_is_written() {
+    expect_that!(candidate(0).next_step(at(0)), eq(&LeaseStep::Read));
+}
+
+#[gtest]
+fn lease_first_holder_orders_at_once() {
+    let mut lease = candidate(0);
+    let row = take_first(&mut lease, at(0));
+    expect_that!(row.fence, eq(FenceNumber(1)));
+    expect_that!(lease.may_order(at(1)), some(eq(FenceNumber(1))));
+}
+
+#[gtest]
+fn lease_that_is_not_renewed_ends_by_the_holders_own_clock() {
+    let mut lease = candidate(0);
+    take_first(&mut lease, at(0));
+    let end = at(0) + LEASE_SPAN;
+    expect_that!(lease.may_order(end), none());
+    expect_that!(lease.may_order(at(0) + LEASE_SPAN - LEASE_MARGIN), none());
+    expect_that!(lease.held(end), none());
+}
+
+#[gtest]
+fn lease_is_taken_over_after_it_stood_still_and_orders_wait() {
+    let mut first = candidate(0);
+    let row = take_first(&mut first, at(0));
+    let mut second = candidate(1);
+    second.on_row(at(100), RowVersion(5), Some(row));
+    let LeaseStep::Wait(span) = second.next_step(at(100)) else { panic!("no wait") };
+    expect_that!(span, eq(LEASE_SPAN + LEASE_MARGIN));
+    let taken = at(100) + span;
+    let LeaseStep::Write { expected, row } = second.next_step(taken) else { panic!("no write") };
+    expect_that!(expected, eq(RowVersion(5)));
+    expect_that!(row.fence, eq(FenceNumber(2)));
+    second.on_written(taken, RowVersion(9), row);
+    expect_that!(second.may_order(taken + Duration::from_millis(500)), none());
+}
+
+#[gtest]
+fn lease_given_back_is_taken_at_once_and_orders_wait() {
+    let mut first = candidate(0);
+    take_first(&mut first, at(0));
+    let (version, row) = first.release().expect("a lease");
+    expect_that!(version, eq(RowVersion(5)));
+    expect_that!(first.may_order(at(1)), none());
+    let mut second = candidate(1);
+    second.on_row(at(10), RowVersion(6), Some(row));
+    let LeaseStep::Write { row, .. } = second.next_step(at(10)) else { panic!("no write") };
+    second.on_written(at(10), RowVersion(7), row);
+    expect_that!(second.may_order(at(20)), none());
+}
+
+#[gtest]
+fn lease_lost_to_another_host_is_not_used() {
+    let mut first = candidate(0);
+    take_first(&mut first, at(0));
+    let row = LeaseRow {
+        holder: host(1),
+        incarnation: HostIncarnation(1),
+        fence: FenceNumber(2),
+        released: false,
+    };
+    first.on_row(at(50), RowVersion(6), Some(row));
+    expect_that!(first.may_order(at(60)), none());
+}
+
+#[gtest]
+fn lease_taken_by_a_write_without_an_answer_waits_before_it_orders() {
+    let mut lease = candidate(0);
+    lease.on_row(at(0), RowVersion(0), None);
+    let LeaseStep::Write { row, .. } = lease.next_step(at(0)) else { panic!("no write") };
+    lease.on_doubt();
+    expect_that!(lease.next_step(at(100)), eq(&LeaseStep::Read));
+    lease.on_row(at(200), RowVersion(4), Some(row));
+    expect_that!(lease.may_order(at(300)), none());
+}
+
+#[gtest]
+fn lease_mark_of_a_live_holder_keeps_others_waiting() {
+    let mut first = candidate(0);
+    let row = take_first(&mut first, at(0));
+    let mut second = candidate(1);
+    second.on_row(at(0), RowVersion(5), Some(row));
+    let late = at(0) + LEASE_SPAN;
+    second.on_mark(late, FenceNumber(1), RowVersion(8));
+    let step = second.next_step(late + LEASE_MARGIN);
+    expect_that!(matches!(step, LeaseStep::Wait(_)), eq(true));
+}
+
+/// Hosts that race for one row; some freeze, lose answers or are cut off from the store.
+struct Race {
+    random: Pcg64Mcg,
+    leases: Vec<KeeperLease>,
+    busy: Vec<u64>,
+    frozen: Vec<u64>,
+    cut: Vec<u64>,
+    version: u64,
+    row: Option<LeaseRow>,
+    orders: Vec<(u64, usize, u64)>,
+}
+
+impl Race {
+    fn new(seed: u64) -> Self {
+        Self {
+            random: Pcg64Mcg::seed_from_u64(seed),
+            leases: (0..4).map(candidate).collect(),
+            busy: vec![0; 4],
+            frozen: vec![0; 4],
+            cut: vec![0; 4],
+            version: 0,
+            row: None,
+            orders: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, millis: u64) {
+        for now in (0..millis).step_by(10) {
+            for index in 0..4 {
+                if self.random.random_bool(0.0003) {
+                    self.frozen[index] = now + self.random.random_range(500..6_000);
+                }
+                if self.random.random_bool(0.0003) {
+                    self.cut[index] = now + self.random.random_range(500..6_000);
+                }
+                if now >= self.frozen[index] {
+                    self.step(now, index);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, now: u64, index: usize) {
+        if let Some(fence) = self.leases[index].may_order(at(now)) {
+            self.orders.push((now, index, fence.0));
+        }
+        if now < self.busy[index] {
+            return;
+        }
+        self.busy[index] = now + 50;
+        if now < self.cut[index] {
+            self.leases[index].on_doubt();
+            return;
+        }
+        match self.leases[index].next_step(at(now)) {
+            LeaseStep::Wait(_) => {}
+            LeaseStep::Read => {
+                let version = RowVersion(self.version);
+                self.leases[index].on_row(at(now), version, self.row.clone());
+            }
+            LeaseStep::Write { expected, row } if expected.0 == self.version => {
+                self.version += 1;
+                self.row = Some(row.clone());
+                if self.random.random_bool(0.1) {
+                    self.leases[index].on_doubt();
+                } else {
+                    self.leases[index].on_written(at(now), RowVersion(self.version), row);
+                }
+            }
+            LeaseStep::Write { .. } => self.leases[index].on_doubt(),
+        }
+    }
+}
+
+#[gtest]
+fn lease_orders_of_two_holders_keep_apart_and_fences_grow() {
+    let mut changes = 0;
+    for seed in 0..200 {
+        let mut race = Race::new(seed);
+        race.run(60_000);
+        for pair in race.orders.windows(2) {
+            let ((before, from, old), (after, to, new)) = (pair[0], pair[1]);
+            expect_that!(new, ge(old), "seed {seed} at {after}");
+            if from != to {
+                changes += 1;
+                let apart = Duration::from_millis(after - before);
+                expect_that!(apart, ge(GAP), "seed {seed} at {after}");
+                expect_that!(new, gt(old), "seed {seed} at {after}");
+            }
+        }
+    }
+    expect_that!(changes, gt(100));
+    expect_that!(RENEWAL_PAUSE, lt(LEASE_SPAN / 2));
+}
--- /dev/null
+++ b/crates/decisions/tests/sends.rs
@@ -0,0 +1,83 @@
+//! Which upstream gets a request, and how many further sends a host may make.
+
+use std::time::Duration;
+
+use dotterellane_decisions::resend_budget::{ResendBudget, ResendLimits};
+use dotterellane_decisions::runner_choice::{RunnerCandidate, choose_runner};
+use dotterellane_units::ClockInstant;
+use googletest::prelude::*;
+
+const LIMITS: ResendLimits =
+    ResendLimits { ratio: 0.2, slack: 2.0, window: Duration::from_secs(10) };
+
+fn candidate(name: &str, running: u32) -> RunnerCandidate {
+    RunnerCandidate {
+        name: name.parse().expect("valid id"),
+        near: false,
+        running,
+        failing: false,
+        tried: false,
+    }
+}
+
+#[gtest]
+fn choice_fewest_requests_first_then_near() {
+    let near = RunnerCandidate { near: true, ..candidate("c", 1) };
+    let candidates = [candidate("a", 2), candidate("b", 1), near];
+    let chosen = choose_runner(&candidates, 7).expect("a runner");
+    expect_that!(chosen.name.as_str(), eq("c"));
+}
+
+#[gtest]
+fn choice_tried_and_failing_ones_come_last() {
+    let tried = RunnerCandidate { tried: true, ..candidate("a", 0) };
+    let failing = RunnerCandidate { failing: true, ..candidate("b", 0) };
+    let all = [tried, failing, candidate("c", 9)];
+    let chosen = choose_runner(&all, 7).expect("a runner");
+    expect_that!(chosen.name.as_str(), eq("c"));
+    let chosen = choose_runner(&all[..2], 7).expect("a runner");
+    expect_that!(chosen.name.as_str(), eq("b"));
+    expect_that!(choose_runner(&[], 7), none());
+}
+
+#[gtest]
+fn choice_equal_ones_share_the_requests() {
+    let candidates = [candidate("a", 0), candidate("b", 0), candidate("c", 0)];
+    let chosen = |name: &str| {
+        let picks = (0..300).filter_map(|spread| choose_runner(&candidates, spread));
+        picks.filter(|one| one.name.as_str() == name).count()
+    };
+    for name in ["a", "b", "c"] {
+        expect_that!(chosen(name), ge(60), "{name}");
+    }
+}
+
+#[gtest]
+fn resends_stay_within_ratio_and_slack_of_any_window() {
+    let mut budget = ResendBudget::default();
+    let mut taken = Vec::new();
+    for step in 0..3_000_u64 {
+        let now = ClockInstant::from_millis(step * 10);
+        if step % 10 == 0 {
+            budget.note_request(now, &LIMITS);
+        }
+        if budget.take(now, &LIMITS) {
+            taken.push(step * 10);
+        }
+    }
+    for first in &taken {
+        let within = taken.iter().filter(|at| (*first..first + 10_000).contains(*at)).count();
+        expect_that!(within, le(22));
+    }
+    expect_that!(taken.len(), ge(50));
+}
+
+#[gtest]
+fn resends_without_requests_end_with_the_slack() {
+    let mut budget = ResendBudget::default();
+    let now = ClockInstant::from_millis(1);
+    let taken = (0..10).filter(|_| budget.take(now, &LIMITS)).count();
+    expect_that!(taken, eq(2));
+    let later = ClockInstant::from_millis(10_001);
+    expect_that!(budget.take(later, &LIMITS), eq(true));
+}
