--- a/crates/decisions/src/weight_plan.rs
+++ b/crates/decisions/src/weight_plan.rs
@@ -39,6 +39,9 @@
 /// Orders that a runner may turn away one after the other before it is asked for its state.
 const BUSY_ORDERS: u32 = 5;
 
+/// Time after an accepted order in which a runner may still be at it, a load apart.
+const OWN_ORDER_SPAN: Duration = Duration::from_millis(400);
+
 /// Age that what a runner says of itself may have.
 const REPORT_LAG: Duration = Duration::from_millis(500);
 
@@ -252,6 +255,8 @@
     accepted: Option<u64>,
     /// Whether it must be asked for its state before it gets another order.
     questioned: bool,
+    /// Whether it carried out an order that is not known when it was last asked.
+    was_busy: bool,
     /// Orders that it turned away one after the other.
     refusals: u32,
     models: BTreeMap<ModelId, ModelState>,
@@ -376,7 +381,16 @@
         if known.accepted.is_some_and(|counted| accepted < counted) {
             return;
         }
-        let fresh = asked > known.changed + REPORT_LAG;
+        // What is held may be older than the number of orders: after news of either kind, only a
+        // report that was asked for later tells what is held.
+        let overdue = known.loading.as_ref().is_some_and(|loading| now > loading.due + LOAD_GRACE);
+        if overdue {
+            known.loading = None;
+        }
+        let busy = report.busy && known.loading.is_none();
+        let news = known.accepted != Some(accepted) || busy || known.was_busy || overdue;
+        known.was_busy = busy;
+        known.accepted = Some(accepted);
         if let Some(open) = known.open.take_if(|open| open.unanswered) {
             if asked.since(open.sent) <= DOUBT_PAUSE {
                 known.open = Some(open);
@@ -386,10 +400,12 @@
             }
             // Else a later order with the same number makes the late one void, or the other way round.
         }
-        known.accepted = Some(accepted);
-        if known.open.is_none() && fresh {
+        if news {
+            known.changed = now;
+            known.questioned = true;
+        } else if known.open.is_none() && asked > known.changed + REPORT_LAG {
             adopt_held(known, now, report);
-            known.questioned = report.busy && known.loading.is_none();
+            known.questioned = false;
             known.refusals = 0;
         }
     }
@@ -424,7 +440,9 @@
             OrderOutcome::Busy => {
                 restore(runner, now, order);
                 runner.refusals += 1;
-                runner.questioned |= runner.refusals >= BUSY_ORDERS;
+                // Soon after an own order it may still be at that; else at one that is not known.
+                let own = now.since(runner.changed) < OWN_ORDER_SPAN;
+                runner.questioned |= !own || runner.refusals >= BUSY_ORDERS;
                 runner.not_before = now + ORDER_PAUSE;
             }
             OrderOutcome::Refused => {
@@ -949,6 +967,7 @@
         report: RunnerReport { held: Vec::new(), ..report.clone() },
         accepted: None,
         questioned: true,
+        was_busy: false,
         refusals: 0,
         models: BTreeMap::new(),
         adapters: BTreeMap::new(),
@@ -1008,8 +1027,7 @@
 /// Believes what a report says that the runner holds.
 fn adopt_held(runner: &mut PlanRunner, now: ClockInstant, report: &RunnerReport) {
     if let Some(loading) = &runner.loading {
-        let present = report.held.iter().any(|held| held.model == loading.model);
-        if present || now > loading.due + LOAD_GRACE {
+        if report.held.iter().any(|held| held.model == loading.model) {
             runner.loading = None;
         }
     }
--- a/crates/decisions/tests/weight_plan.rs
+++ b/crates/decisions/tests/weight_plan.rs
@@ -211,12 +211,24 @@
     takeovers: f64,
     crashes: f64,
     slow_reports: f64,
+    /// Whether a report's number of orders is newer than what it says is held.
+    torn_reports: bool,
 }
 
-const CALM: Troubles =
-    Troubles { late_orders: 0.0, takeovers: 0.0, crashes: 0.0, slow_reports: 0.0 };
-const ROUGH: Troubles =
-    Troubles { late_orders: 0.4, takeovers: 0.001, crashes: 0.0005, slow_reports: 0.2 };
+const CALM: Troubles = Troubles {
+    late_orders: 0.0,
+    takeovers: 0.0,
+    crashes: 0.0,
+    slow_reports: 0.0,
+    torn_reports: false,
+};
+const ROUGH: Troubles = Troubles {
+    late_orders: 0.4,
+    takeovers: 0.001,
+    crashes: 0.0005,
+    slow_reports: 0.2,
+    torn_reports: false,
+};
 
 struct World {
     random: Pcg64Mcg,
@@ -342,7 +354,11 @@
             let index = (0..RUNNERS).find(|index| runner_name(*index) == name).expect("known");
             let slow = self.random.random_bool(self.troubles.slow_reports);
             let delay = if slow { self.random.random_range(0..2_000) } else { 4 };
-            let report = self.runners[index].report(now);
+            let mut report = self.runners[index].report(now);
+            if self.troubles.torn_reports {
+                report.accepted = Some(self.runners[index].accepted);
+                report.busy = self.runners[index].busy.is_some();
+            }
             self.put(now + delay, Flight::Report(index, now, report));
         }
     }
@@ -420,6 +436,57 @@
     }
 }
 
+#[gtest]
+fn plan_never_overloads_by_reports_whose_parts_are_of_different_age() {
+    for seed in 0..150 {
+        let mut world = World::new(5_000 + seed, Troubles { torn_reports: true, ..ROUGH });
+        world.run(40_000);
+        expect_that!(world.overloads(), eq(0), "seed {seed}");
+    }
+}
+
+/// A plan with one full runner that has what requests wait for on its disk, and its first order.
+fn plan_with_full_runner() -> (WeightPlan, SimRunner, PlannedOrder) {
+    let mut plan = WeightPlan::after_takeover(at(0), facts());
+    let mut runner = SimRunner::new(0);
+    runner.disk.insert(model(9));
+    plan.on_row(at(0), &runner_name(0), runner.snapshot());
+    for asked in [4_000, 5_000] {
+        plan.on_report(at(asked), &runner_name(0), at(asked), &runner.snapshot());
+    }
+    want_model(&mut plan, 6_000);
+    let orders = plan.next_orders(at(6_000));
+    let order = orders.first().expect("an order").clone();
+    (plan, runner, order)
+}
+
+fn want_model(plan: &mut WeightPlan, now: u64) {
+    let waiting = vec![WaitingModel { model: model(9), adapter: None, count: 1, worth: 1_000 }];
+    plan.on_demand(at(now), host(), HostDemand { waiting, ..HostDemand::default() });
+}
+
+#[gtest]
+fn plan_refused_unload_makes_no_room() {
+    let (mut plan, _, order) = plan_with_full_runner();
+    expect_that!(order.kind, eq(OrderKind::Unload));
+    plan.on_outcome(at(6_010), &order, OrderOutcome::Busy);
+    want_model(&mut plan, 6_200);
+    for next in plan.next_orders(at(6_200)) {
+        expect_that!(next.kind, eq(OrderKind::Unload));
+    }
+}
+
+#[gtest]
+fn plan_late_report_does_not_take_the_count_back() {
+    let (mut plan, runner, order) = plan_with_full_runner();
+    plan.on_outcome(at(6_010), &order, OrderOutcome::Accepted);
+    let before = RunnerReport { accepted: Some(0), ..runner.snapshot() };
+    plan.on_report(at(7_000), &runner_name(0), at(6_900), &before);
+    want_model(&mut plan, 7_000);
+    let next = plan.next_orders(at(7_000));
+    expect_that!(next.first().expect("an order").expected_sequence, eq(1));
+}
+
 #[gtest]
 fn plan_rough_fleet_still_serves() {
     let mut served = 0;
@@ -440,7 +507,9 @@
             runner.disk.insert(model(9));
         }
         plan.on_row(at(0), &runner_name(index), runner.snapshot());
-        plan.on_report(at(4_000), &runner_name(index), at(4_000), &runner.snapshot());
+        for asked in [4_000, 5_000] {
+            plan.on_report(at(asked), &runner_name(index), at(asked), &runner.snapshot());
+        }
     }
     let waiting = vec![WaitingModel { model: model(9), adapter: None, count: 1, worth: 1_000 }];
     plan.on_demand(at(6_000), host(), HostDemand { waiting, ..HostDemand::default() });
