--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -34,8 +34,6 @@
     pub model: Option<ModelChoice>,
     /// Tokens of the prompt and most tokens of the answer.
     pub tokens: Option<(TokenCount, TokenCount)>,
-    /// Hash of the part of the prompt that a session's requests share.
-    pub affinity: Option<u64>,
     /// Last event that the caller has of a broken stream.
     pub last_event: Option<String>,
 }
--- a/crates/gateway/src/document.rs
+++ b/crates/gateway/src/document.rs
@@ -56,8 +56,6 @@
     pub attempts: u32,
     /// Whether callers without a key may use it.
     pub open_to_all: bool,
-    /// Whether requests whose prompts begin alike should meet at one runner.
-    pub sticky: bool,
 }
 
 /// Shortest time after which callers give a silent stream up.
@@ -109,8 +107,6 @@
     pub header_bytes: usize,
     /// Longest body, in bytes.
     pub body_bytes: usize,
-    /// Time that the head may take.
-    pub header_timeout: Duration,
     /// Time that a connection may be idle.
     pub idle_timeout: Duration,
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -22,8 +22,11 @@
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Read buffer of a connection, in bytes, which also bounds the head of a request.
-const HEAD_BYTES: usize = 32 * 1024;
+/// Longest head of a request before a configuration names one, in bytes.
+const DEFAULT_HEAD_BYTES: usize = 32 * 1024;
+
+/// Smallest read buffer that the HTTP library allows, in bytes.
+const LEAST_HEAD_BYTES: usize = 8 * 1024;
 
 /// Time that a caller's connection may be idle before a configuration names one.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
@@ -52,7 +55,9 @@
     if bound_silence(&stream).is_err() {
         return;
     }
-    let idle = host.state().document.as_ref().map(|document| document.limits.idle_timeout);
+    let limits = host.state().document.as_ref().map(|document| document.limits);
+    let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle_timeout);
+    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.header_bytes);
     let service = service_fn(|request: Request<Incoming>| {
         // The connection keeps this future for its life; what it needs until the answer must not stay.
         let answering = Box::pin(answer(host.clone(), request));
@@ -60,9 +65,9 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        // The library counts idle time as part of the next head.
-        .header_read_timeout(idle.unwrap_or(DEFAULT_IDLE))
-        .max_buf_size(HEAD_BYTES)
+        // The library counts idle time as part of the next head, so that this bounds both.
+        .header_read_timeout(idle)
+        .max_buf_size(head_bytes.max(LEAST_HEAD_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     // A connection that breaks is its caller's matter; holds are released by their drop.
