--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -60,6 +60,21 @@
     seen: Vec<SeenRequest>,
     events: u64,
     busy: bool,
+    abandoned: usize,
+}
+
+/// Counts a run whose caller went away before it ended.
+struct RunGuard {
+    state: Arc<Mutex<EngineState>>,
+    ended: bool,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if !self.ended {
+            lock(&self.state).abandoned += 1;
+        }
+    }
 }
 
 /// A runner on a loopback port.
@@ -119,6 +134,11 @@
         lock(&self.state).seen.clone()
     }
 
+    /// Returns the number of slow runs whose caller went away.
+    pub fn abandoned(&self) -> usize {
+        lock(&self.state).abandoned
+    }
+
     /// Returns the orders that reached the runner.
     pub fn orders(&self) -> Vec<Value> {
         lock(&self.state).orders.clone()
@@ -201,7 +221,9 @@
         return answer;
     }
     if let Some(EngineFault::Slow(millis)) = fault {
+        let mut guard = RunGuard { state: state.clone(), ended: false };
         sleep(Duration::from_millis(millis)).await;
+        guard.ended = true;
     }
     let mut answer = match fault {
         Some(EngineFault::LosesAnswer) => broken_answer(),
