Look at the store less often

Configuration followed with waits of 1.3 s (1.0), directory each 1.4 s (0.9): a leaving runner is still seen 0.6 s before its bound. The test of draining waits for the bound that the users state.

--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -12,13 +12,13 @@
 use crate::state::Host;
 
 /// Longest time that one look at the configuration waits for a change.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_300);
 
 /// Longest time that one look at the directory waits for a change.
 const DIRECTORY_WAIT: Duration = Duration::from_millis(500);
 
 /// Pause between two looks at the directory, whose rows change all the time.
-const DIRECTORY_PAUSE: Duration = Duration::from_millis(900);
+const DIRECTORY_PAUSE: Duration = Duration::from_millis(1_400);
 
 /// Pause between two looks while the keeper waits for a load to end.
 const KEEPER_PAUSE: Duration = Duration::from_millis(180);
