Use a runner on whose row went missing only as long as it may come back

Ruled out: the longer pause between looks alone (0.9 s gives 2.4 s too). Such an entry is used until 2.2 s after the store's trouble at most; forgotten history is no trouble of that kind. Pause 1.4 to 1.2 s.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -8,9 +8,12 @@
 
 use crate::call::{DirectoryEntry, ModelChoice};
 
-/// Time for which an upstream whose row lapsed during trouble of the store is still used.
+/// Longest time for which an upstream whose row went missing after trouble of the store is used on.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(1_500);
 
+/// Time after trouble of the store within which rows that lapsed meanwhile come back.
+pub const RETURN_SPAN: Duration = Duration::from_millis(2_200);
+
 /// Time for which an upstream that failed is passed over while others are sound.
 pub const FAILURE_PAUSE: Duration = Duration::from_millis(1_500);
 
@@ -38,8 +41,8 @@
     pub held: Vec<HeldModel>,
     /// When the keeper last said what it holds.
     told: Option<ClockInstant>,
-    /// When its row went missing.
-    lapsed: Option<ClockInstant>,
+    /// Until when it is used although its row is missing.
+    used_until: Option<ClockInstant>,
     failed: Option<ClockInstant>,
     /// When no connection opened, and until when it gets no requests for that.
     unreachable: Option<(ClockInstant, ClockInstant)>,
@@ -51,7 +54,7 @@
     pub fn is_usable(&self, now: ClockInstant) -> bool {
         !self.entry.report.draining
             && !self.is_unreachable(now)
-            && self.lapsed.is_none_or(|lapsed| now.since(lapsed) < LAPSE_GRACE)
+            && self.used_until.is_none_or(|until| now < until)
     }
 
     /// Tells whether it accepted no connection a moment ago.
@@ -99,14 +102,14 @@
             let recent = |at: ClockInstant| now.since(at) < UNREACHABLE_LAG;
             known.unreachable = known.unreachable.filter(|(at, _)| !alive || recent(*at));
             known.entry = entry;
-            known.lapsed = None;
+            known.used_until = None;
             return true;
         }
         let known = KnownUpstream {
             held: report.held.clone(),
             told: None,
             entry,
-            lapsed: None,
+            used_until: None,
             failed: None,
             unreachable: None,
             misses: BTreeMap::new(),
@@ -115,10 +118,12 @@
         true
     }
 
-    /// Takes in that a row is gone; with `doubtful`, the store had trouble that may explain it.
-    pub fn remove(&mut self, now: ClockInstant, name: &UpstreamId, doubtful: bool) {
-        match self.upstreams.get_mut(name) {
-            Some(known) if doubtful => known.lapsed = known.lapsed.or(Some(now)),
+    /// Takes in that a row is gone. It may have lapsed in trouble of the store, last seen at `trouble`,
+    /// and come back; after that it is gone.
+    pub fn remove(&mut self, now: ClockInstant, name: &UpstreamId, trouble: Option<ClockInstant>) {
+        let until = trouble.map(|trouble| (trouble + RETURN_SPAN).min(now + LAPSE_GRACE));
+        match (self.upstreams.get_mut(name), until.filter(|until| *until > now)) {
+            (Some(known), Some(until)) => known.used_until = known.used_until.or(Some(until)),
             _ => {
                 self.upstreams.remove(name);
             }
@@ -127,8 +132,7 @@
 
     /// Drops upstreams whose rows have been gone for long.
     pub fn sweep(&mut self, now: ClockInstant) {
-        self.upstreams
-            .retain(|_, known| known.lapsed.is_none_or(|lapsed| now.since(lapsed) < LAPSE_GRACE));
+        self.upstreams.retain(|_, known| known.used_until.is_none_or(|until| now < until));
     }
 
     /// Takes in what the keeper knows an upstream to hold.
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -18,7 +18,7 @@
 const DIRECTORY_WAIT: Duration = Duration::from_millis(500);
 
 /// Pause between two looks at the directory, whose rows change all the time.
-const DIRECTORY_PAUSE: Duration = Duration::from_millis(1_400);
+const DIRECTORY_PAUSE: Duration = Duration::from_millis(1_200);
 
 /// Pause between two looks while the keeper waits for a load to end.
 const KEEPER_PAUSE: Duration = Duration::from_millis(180);
@@ -26,9 +26,6 @@
 /// Pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Time after trouble of the store during which a missing row may be its doing.
-const TROUBLE_SPAN: Duration = Duration::from_secs(4);
-
 /// Follows one feed: all rows at first and after its history was lost, then changes.
 struct FeedFollower {
     name: &'static str,
@@ -67,7 +64,6 @@
             Err(FeedError::HistoryLost { after }) => {
                 spdlog::warn!("store forgot its history", kv: { step = self.name, after = after.0 });
                 self.after = None;
-                host.state().store_trouble = Some(host.now());
                 None
             }
             Err(FeedError::Table(error)) => {
@@ -178,13 +174,13 @@
 fn adopt_entries(host: &Arc<Host>, batch: FeedBatch, whole: bool) {
     let now = host.now();
     let mut state = host.state();
-    let doubtful = state.store_trouble.is_some_and(|at| now.since(at) < TROUBLE_SPAN);
+    let trouble = state.store_trouble;
     if whole {
         let listed: BTreeSet<&str> = batch.rows.iter().map(|row| row.key.as_str()).collect();
         let gone = state.directory.iter().map(|(name, _)| name.clone());
         let gone: Vec<UpstreamId> = gone.filter(|name| !listed.contains(name.as_str())).collect();
         for name in gone {
-            state.directory.remove(now, &name, doubtful);
+            state.directory.remove(now, &name, trouble);
         }
     }
     for row in batch.rows {
@@ -193,10 +189,10 @@
             continue;
         };
         let Some(value) = row.value else {
-            state.directory.remove(now, &name, doubtful);
+            state.directory.remove(now, &name, trouble);
             spdlog::info!("upstream left the directory", kv: {
                 upstream = name.as_str(),
-                doubtful = doubtful,
+                used_on = state.directory.get(&name).is_some(),
             });
             continue;
         };
@@ -220,7 +216,7 @@
             }
             Err(error) => {
                 log_entry(&row.key, &error.to_string());
-                state.directory.remove(now, &name, false);
+                state.directory.remove(now, &name, None);
             }
         }
     }
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -75,7 +75,7 @@
 fn row_that_goes_missing_ends_its_upstream() {
     let mut directory = Directory::default();
     directory.put(at(0), name(), entry(1, 5, false, "m"));
-    directory.remove(at(1), &name(), false);
+    directory.remove(at(1), &name(), None);
     expect_that!(is_usable(&directory, at(1)), eq(false));
 }
 
@@ -83,7 +83,7 @@
 fn row_that_lapses_in_trouble_of_the_store_is_kept_for_a_while() {
     let mut directory = Directory::default();
     directory.put(at(0), name(), entry(1, 5, false, "m"));
-    directory.remove(at(1), &name(), true);
+    directory.remove(at(1), &name(), Some(at(0)));
     expect_that!(is_usable(&directory, at(100)), eq(true));
     let gone = at(1) + LAPSE_GRACE;
     expect_that!(is_usable(&directory, gone), eq(false));
@@ -91,6 +91,19 @@
     expect_that!(is_usable(&directory, gone), eq(true));
 }
 
+#[gtest]
+fn row_that_goes_missing_after_the_store_came_back_is_not_used_on_for_long() {
+    let mut directory = Directory::default();
+    directory.put(at(0), name(), entry(1, 5, false, "m"));
+    // The store came back at 0; the runner left at 480 and that is seen at 1,400.
+    directory.remove(at(1_400), &name(), Some(at(0)));
+    // The users' bound on requests to a runner that left.
+    expect_that!(is_usable(&directory, at(480 + 2_000)), eq(false));
+    directory.put(at(3_000), name(), entry(1, 6, false, "m"));
+    directory.remove(at(3_100), &name(), Some(at(0)));
+    expect_that!(directory.get(&name()).is_none(), eq(true));
+}
+
 #[gtest]
 fn keeper_overrules_rows_while_it_speaks() {
     let mut directory = Directory::default();
