--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -9,7 +9,7 @@
 use dotterellane_decisions::weight_plan::{
     HostDemand, OrderOutcome, PlannedOrder, RunnerReport, WeightPlan,
 };
-use dotterellane_platform::{CommitOutcome, RowCondition, RowWrite, TableTransaction};
+use dotterellane_platform::{CommitOutcome, RowCondition, RowWrite, TableRow, TableTransaction};
 use dotterellane_units::{
     ClockInstant, FenceNumber, HostId, HostIncarnation, RowVersion, ServiceId, UpstreamId,
 };
@@ -238,10 +238,9 @@
             Some(keeper) if keeper.host != host.settings.host => now.since(keeper.heard),
             _ => now.since(began).saturating_sub(START_SILENCE) + KEEPER_SILENCE,
         };
-        let live = state
-            .peers
-            .iter()
-            .filter(|(_, peer)| now.since(peer.heard) < KEEPER_SILENCE && !peer.leaving);
+        let live = state.peers.iter().filter(|(_, peer)| {
+            now.since(peer.heard) < KEEPER_SILENCE && !peer.leaving && peer.fresh
+        });
         let live = live.map(|(name, peer)| (name, peer.incarnation));
         let rank = candidate_rank(live, &host.settings.host, host.incarnation);
         if silence < KEEPER_SILENCE + CANDIDATE_STEP.saturating_mul(rank)
@@ -280,7 +279,7 @@
         Ok(rows) => {
             let row = rows.first();
             let version = row.map_or(RowVersion(0), |row| row.version);
-            let content = row.and_then(|row| postcard::from_bytes::<LeaseRow>(&row.value).ok());
+            let content = row.map(|row| read_lease_row(host, row));
             host.desk.lock().lease.on_row(started, version, content);
         }
         Err(error) => {
@@ -292,6 +291,23 @@
     }
 }
 
+/// Reads the lease's row. One that cannot be read counts as held by an unknown host, with a fencing
+/// number that no holder can have reached.
+fn read_lease_row(host: &Host, row: &TableRow) -> LeaseRow {
+    postcard::from_bytes(&row.value).unwrap_or_else(|error| {
+        spdlog::error!("row of the keeper's lease cannot be read", kv: {
+            version = row.version.0,
+            cause = error.to_string().as_str(),
+        });
+        LeaseRow {
+            holder: host.settings.host.clone(),
+            incarnation: HostIncarnation(0),
+            fence: FenceNumber(row.version.0),
+            released: false,
+        }
+    })
+}
+
 async fn write_lease(host: &Arc<Host>, expected: RowVersion, row: LeaseRow) {
     let started = host.now();
     match commit_lease(host, expected, &row).await {
