--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Finding an upstream for a request, and sending it there.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,6 @@
 use dotterellane_units::{ClockInstant, ServiceId, UpstreamId};
 use http::{HeaderMap, Response, StatusCode};
 use hyper::body::Incoming;
-use std::net::SocketAddr;
 use tokio::time::{sleep, timeout};
 
 use crate::answer::{Admission, GatewayCall, admit, model_text};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,7 @@
 
 use dotterellane_decisions::team_levels::{PEER_MEMORY, PEER_SILENCE};
 use dotterellane_platform::{RowWrite, TableTransaction};
-use dotterellane_units::HostId;
+use dotterellane_units::{HostId, HostIncarnation};
 use tokio::time::{sleep, timeout};
 
 use crate::crashes;
@@ -191,12 +191,7 @@
     }
 }
 
-fn accept_beat(
-    host: &Arc<Host>,
-    from: &HostId,
-    incarnation: dotterellane_units::HostIncarnation,
-    beat: HostBeat,
-) {
+fn accept_beat(host: &Arc<Host>, from: &HostId, incarnation: HostIncarnation, beat: HostBeat) {
     let now = host.now();
     let mut state = host.state();
     state.levels.absorb(now, from, incarnation, &beat.spending, beat.leaving);
