--- a/crates/decisions/tests/weight_plan.rs
+++ b/crates/decisions/tests/weight_plan.rs
@@ -489,6 +489,31 @@
     }
 }
 
+#[gtest]
+fn plan_unload_refused_soon_after_an_own_order_makes_no_room() {
+    let mut plan = WeightPlan::after_takeover(at(0), facts());
+    let mut runner = SimRunner::new(1);
+    runner.disk.insert(model(9));
+    plan.on_row(at(0), &runner_name(1), runner.snapshot());
+    for asked in [4_000, 5_000] {
+        plan.on_report(at(asked), &runner_name(1), at(asked), &runner.snapshot());
+    }
+    let adapter =
+        WaitingModel { model: model(3), adapter: Some(adapter(1)), count: 1, worth: 1_000 };
+    let waiting = HostDemand { waiting: vec![adapter], ..HostDemand::default() };
+    plan.on_demand(at(9_400), host(), waiting);
+    let own = plan.next_orders(at(9_400)).pop().expect("an order");
+    expect_that!(own.adapter.is_some(), eq(true));
+    plan.on_outcome(at(9_410), &own, OrderOutcome::Accepted);
+    want_model(&mut plan, 9_500);
+    let unload = plan.next_orders(at(9_500)).pop().expect("an order");
+    expect_that!(unload.kind, eq(OrderKind::Unload));
+    plan.on_outcome(at(9_510), &unload, OrderOutcome::Busy);
+    want_model(&mut plan, 9_600);
+    let again = plan.next_orders(at(9_600)).pop().expect("an order");
+    expect_that!(again.kind, eq(OrderKind::Unload));
+}
+
 #[gtest]
 fn plan_late_report_does_not_take_the_count_back() {
     let (mut plan, runner, order) = plan_with_full_runner();
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -282,19 +282,18 @@
 }
 
 fn stream_answer(after: u64, events: u64, breaks: Option<u64>) -> Response<AnswerBody> {
-    let pieces =
-        (after + 1..=events).take_while(move |number| breaks.is_none_or(|at| *number <= at));
-    let pieces = stream::iter(pieces).then(move |number| async move {
+    let last = breaks.map_or(events, |at| at.min(events));
+    let whole = (after + 1..=last).filter(|number| breaks != Some(*number));
+    let mut pieces: Vec<std::io::Result<Bytes>> = whole.map(|number| Ok(event(number))).collect();
+    if let Some(at) = breaks.filter(|at| *at > after) {
+        pieces.push(Ok(event(at).slice(..8)));
+        pieces.push(Err(std::io::Error::other("broken off")));
+    }
+    // The pause lets a part of an event out before the break.
+    let pieces = stream::iter(pieces).then(|piece| async {
         sleep(EVENT_PAUSE).await;
-        match breaks {
-            Some(at) if at == number => vec![
-                Ok(Frame::data(event(number).slice(..8))),
-                Err(std::io::Error::other("broken off")),
-            ],
-            _ => vec![Ok(Frame::data(event(number)))],
-        }
+        piece.map(Frame::data)
     });
-    let pieces = pieces.flat_map(stream::iter);
     let mut answer = Response::new(StreamBody::new(pieces).boxed_unsync());
     set(&mut answer, "content-type", "text/event-stream");
     answer
