--- a/crates/decisions/src/team_levels.rs
+++ b/crates/decisions/src/team_levels.rs
@@ -48,6 +48,9 @@
 /// Part of the tolerance of the burst that is lent to teams.
 const LENT_BURST: f64 = 0.6;
 
+/// Longest wait that a refusal tells, in seconds.
+const LONGEST_WAIT_S: f64 = 60.0;
+
 /// Part of a burst with which a host starts that has heard no peer, after all lost their memory.
 const FIRST_LEVEL: f64 = 0.25;
 
@@ -156,7 +159,8 @@
             let needed = cost.min(entry.limit.burst * part);
             if entry.level < needed {
                 let rate = entry.limit.rate * part;
-                return Err(Duration::from_secs_f64(((needed - entry.level) / rate).min(60.0)));
+                let wait = ((needed - entry.level) / rate).min(LONGEST_WAIT_S);
+                return Err(Duration::from_secs_f64(wait));
             }
         }
         entry.level -= cost;
--- a/crates/decisions/src/weight_plan/evictions.rs
+++ b/crates/decisions/src/weight_plan/evictions.rs
@@ -8,6 +8,12 @@
 use super::terms::LoadTier;
 use super::{LEAST_STAY, WeightPlan};
 
+/// Weight of a copy beyond those that the demand asks for.
+const SPARE_WEIGHT: f64 = 0.1;
+
+/// Requests a second that count for a model that nobody asked for lately.
+const LEAST_RATE: f64 = 0.02;
+
 impl WeightPlan {
     /// Models that `name` would drop to make room for `needed`, cheapest first; `None` if it can't.
     pub(super) fn evictions(
@@ -66,9 +72,9 @@
             (false, true) => facts.disk_load * 2,
             (false, false) => facts.store_load * 2,
         };
-        let weight = if spare { 0.1 } else { 1.0 };
+        let weight = if spare { SPARE_WEIGHT } else { 1.0 };
         let recency = 1.0 / (1.0 + idle.as_secs_f64());
-        (usage.rate + 0.02) * reload.as_secs_f64() * weight * (1.0 + recency)
+        (usage.rate + LEAST_RATE) * reload.as_secs_f64() * weight * (1.0 + recency)
     }
 
     pub(super) fn weights(&self, model: &ModelId) -> ByteSize {
--- a/crates/decisions/src/weight_plan/mod.rs
+++ b/crates/decisions/src/weight_plan/mod.rs
@@ -215,7 +215,7 @@
             self.plan_model(now, &model, true, &mut orders);
         }
         for model in self.wanted_replicas() {
-            self.plan_replica(now, &model, &mut orders);
+            self.plan_model(now, &model, false, &mut orders);
         }
         self.plan_first_loads(now, &mut orders);
         self.fill_places(now, &mut orders);
@@ -436,11 +436,6 @@
         self.send(now, order, orders);
     }
 
-    /// Plans a further copy of a busy model, where it costs less than it brings.
-    fn plan_replica(&mut self, now: ClockInstant, model: &ModelId, orders: &mut Vec<PlannedOrder>) {
-        self.plan_model(now, model, false, orders);
-    }
-
     /// Plans loads of models that no runner has a copy of, before anyone asks for them.
     fn plan_first_loads(&mut self, now: ClockInstant, orders: &mut Vec<PlannedOrder>) {
         let models: Vec<ModelId> = self.facts.models.keys().cloned().collect();
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -40,6 +40,9 @@
 /// Pause between two looks at what to do about the lease.
 const LEASE_LOOK: Duration = Duration::from_millis(100);
 
+/// Pause after the lease could not be read.
+const LEASE_RETRY: Duration = Duration::from_millis(300);
+
 /// Longest pause between two looks at the plan.
 const PLAN_PAUSE: Duration = Duration::from_millis(250);
 
@@ -286,7 +289,7 @@
             spdlog::warn!("keeper's lease cannot be read", kv: {
                 cause = error.to_string().as_str(),
             });
-            sleep(LEASE_LOOK * 3).await;
+            sleep(LEASE_RETRY).await;
         }
     }
 }
@@ -493,7 +496,17 @@
 async fn ask_runner(host: Arc<Host>, runner: UpstreamId) {
     let call = (host.wire.report_call)(&runner);
     let asked = host.now();
-    let Some(Ok((status, body))) = call_runner(&host, &runner, &call).await else { return };
+    let Some(answered) = call_runner(&host, &runner, &call).await else { return };
+    let (status, body) = match answered {
+        Ok(answered) => answered,
+        Err(error) => {
+            spdlog::info!("runner does not report", kv: {
+                runner = runner.as_str(),
+                cause = error.to_string().as_str(),
+            });
+            return;
+        }
+    };
     if !status.is_success() {
         return;
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,6 +21,9 @@
 /// Time before the end of the shutdown at which what still runs is left.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time that the last log lines have to get out.
+const LAST_LINES: Duration = Duration::from_millis(20);
+
 /// Pause between two looks at whether the settings file changed.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 
@@ -119,7 +122,7 @@
         after_ms = host.now().since(started).as_millis() as u64,
     });
     // Lets the last lines out.
-    sleep(Duration::from_millis(20)).await;
+    sleep(LAST_LINES).await;
 }
 
 /// Reads the settings file again after SIGHUP or when it changed, and says what came of it.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -52,7 +52,10 @@
 }
 
 async fn serve_caller(stream: TcpStream, host: Arc<Host>) {
-    if bound_silence(&stream).is_err() {
+    if let Err(error) = bound_silence(&stream) {
+        spdlog::warn!("connection of a caller cannot be bounded", kv: {
+            cause = error.to_string().as_str(),
+        });
         return;
     }
     let limits = host.state().document.as_ref().map(|document| document.limits);
