Pass on what the keeper saw at the store, dated by the store's clock

Ruled out: slower looks (a changed configuration binds after 2 s, and a waiting look dates its evidence at its start); ages in datagrams without a clock (one that lay in a frozen host's socket would count as new); questions and answers between hosts (two datagrams a host and second at the keeper, growing with the hosts). Change: each answer of the store shows its steady clock. A host keeps how that lies to its own clock, within the time of a call and a drift; the keeper's beats carry the version, a digest of the directory, and the store times at which it saw them. A host that knows the same takes the date over, on its own clock and erring on the side of older; one that knows something else looks itself, and so does one that has heard nothing for 1.2 s. The keeper looks each 0.6 s. A new keeper plans from rows read after it took the lease. A host counts as a candidate only if the store answered it last, since its evidence may be another's.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod rounds;
 pub mod runner_choice;
 pub mod shares;
+pub mod store_clock;
 pub mod team_levels;
 pub mod weight_plan;
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,6 +1,7 @@
 //! The upstreams that the platform's directory names, and what is known of them.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use dotterellane_decisions::weight_plan::HeldModel;
@@ -179,6 +180,29 @@
         }
     }
 
+    /// Returns a digest of who may get requests and where, without what changes all the time.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = blake3::Hasher::new();
+        let listed = self.upstreams.iter().filter(|(_, known)| known.used_until.is_none());
+        for (name, known) in listed {
+            let entry = &known.entry;
+            for text in [name.as_str(), entry.service.as_str(), entry.domain.as_str()] {
+                hasher.update(text.as_bytes()).update(&[0]);
+            }
+            match entry.address.ip() {
+                IpAddr::V4(ip) => hasher.update(&ip.octets()),
+                IpAddr::V6(ip) => hasher.update(&ip.octets()),
+            };
+            hasher.update(&entry.address.port().to_le_bytes());
+            hasher.update(&entry.places.to_le_bytes());
+            hasher.update(&entry.report.born.to_le_bytes());
+            hasher.update(&[u8::from(entry.report.draining)]);
+        }
+        let mut digest = [0; 8];
+        digest.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        u64::from_le_bytes(digest)
+    }
+
     /// Returns one upstream.
     pub fn get(&self, name: &UpstreamId) -> Option<&KnownUpstream> {
         self.upstreams.get(name)
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -1,4 +1,8 @@
 //! Following the operators' configuration and the directory of upstreams.
+//!
+//! The keeper looks at the store all the time and tells the others what it saw and when, by the
+//! store's clock. The others look themselves when that differs from what they know, and when they have
+//! heard nothing for a while.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -6,22 +10,24 @@
 
 use dotterellane_platform::{FeedBatch, FeedError, FeedRow, RowFeed, TableError};
 use dotterellane_units::{ClockInstant, RowVersion, UpstreamId};
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::keeper;
-use crate::state::Host;
+use crate::messages::StoreSighting;
+use crate::state::{Host, HostState};
 
-/// Longest time that one look at the configuration waits for a change.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_300);
+/// Age of what is known from which a host looks at the store itself.
+const LOOK_AGE: Duration = Duration::from_millis(1_200);
 
-/// Longest time that one look at the directory waits for a change.
-const DIRECTORY_WAIT: Duration = Duration::from_millis(500);
+/// Least time between the starts of two looks.
+const LEAST_LOOK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Pause between two looks at the directory, whose rows change all the time.
-const DIRECTORY_PAUSE: Duration = Duration::from_millis(1_200);
+/// Time between two looks of the keeper.
+const KEEPER_PAUSE: Duration = Duration::from_millis(600);
 
-/// Pause between two looks while the keeper waits for a load to end.
-const KEEPER_PAUSE: Duration = Duration::from_millis(180);
+/// Time between two looks while the keeper waits for a load to end.
+const LOADING_PAUSE: Duration = Duration::from_millis(180);
 
 /// Pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
@@ -32,19 +38,50 @@
     feed: RowFeed,
     after: Option<RowVersion>,
     failing: bool,
+    /// Start of the last look, whatever came of it.
+    looked: Option<ClockInstant>,
+}
+
+/// What one look showed.
+struct FeedLook {
+    started: ClockInstant,
+    batch: FeedBatch,
+    /// Whether the batch holds all rows.
+    whole: bool,
 }
 
 impl FeedFollower {
     fn new(name: &'static str, feed: RowFeed) -> Self {
-        Self { name, feed, after: None, failing: false }
+        Self { name, feed, after: None, failing: false, looked: None }
     }
 
-    /// Looks once; tells whether the batch holds all rows. `None` after a failure.
-    async fn look(&mut self, host: &Host, wait: Duration) -> Option<(FeedBatch, bool)> {
+    /// Waits until `due` is over, or until `wanted` is told. What `due` returns may grow meanwhile.
+    async fn pause<D>(&self, host: &Host, wanted: &Notify, due: D)
+    where
+        D: Fn(Option<ClockInstant>) -> ClockInstant,
+    {
+        loop {
+            let left = due(self.looked).since(host.now());
+            if left.is_zero() {
+                break;
+            }
+            if timeout(left, wanted.notified()).await.is_ok() {
+                break;
+            }
+        }
+        if let Some(looked) = self.looked {
+            sleep((looked + LEAST_LOOK_PAUSE).since(host.now())).await;
+        }
+    }
+
+    /// Looks once; `None` after a failure.
+    async fn look(&mut self, host: &Host) -> Option<FeedLook> {
+        let started = host.now();
+        self.looked = Some(started);
         let whole = self.after.is_none();
         let looked = match self.after {
             None => self.feed.snapshot().await.map_err(FeedError::Table),
-            Some(after) => self.feed.changes(after, wait).await,
+            Some(after) => self.feed.changes(after, Duration::ZERO).await,
         };
         let label = match &looked {
             Ok(_) => "ok",
@@ -59,7 +96,16 @@
                     spdlog::info!("store answers again", kv: { step = self.name });
                 }
                 self.after = Some(batch.version);
-                Some((batch, whole))
+                let now = host.now();
+                let mut state = host.state();
+                state.store_answered = Some(now);
+                if !state.store_clock.note(started, now, batch.answered) {
+                    spdlog::warn!("store's clock jumped", kv: {
+                        step = self.name,
+                        shown_ms = batch.answered.0,
+                    });
+                }
+                Some(FeedLook { started, batch, whole })
             }
             Err(FeedError::HistoryLost { after }) => {
                 spdlog::warn!("store forgot its history", kv: { step = self.name, after = after.0 });
@@ -86,8 +132,11 @@
 pub async fn follow_configuration(host: Arc<Host>) {
     let mut follower = FeedFollower::new("configuration", host.platform.configuration.clone());
     loop {
-        let started = host.now();
-        let Some((batch, whole)) = follower.look(&host, CONFIGURATION_WAIT).await else { continue };
+        if !follower.failing {
+            let due = |looked| configuration_due(&host, looked);
+            follower.pause(&host, &host.configuration_wanted, due).await;
+        }
+        let Some(FeedLook { started, batch, whole }) = follower.look(&host).await else { continue };
         let newest = batch.rows.iter().rev().find(|row| row.key == host.wire.document_key);
         match newest {
             // What is in force is not known until a version can be read.
@@ -111,6 +160,15 @@
     }
 }
 
+/// Returns when the configuration has to be looked at next.
+fn configuration_due(host: &Host, looked: Option<ClockInstant>) -> ClockInstant {
+    let Some(looked) = looked else { return ClockInstant::default() };
+    if keeper::is_keeping(host) {
+        return looked + KEEPER_PAUSE;
+    }
+    host.state().evidence.map_or(looked, |seen| seen.max(looked)) + LOOK_AGE
+}
+
 /// Takes in a version; tells whether what is known is now the newest.
 fn adopt_document(
     host: &Arc<Host>,
@@ -155,6 +213,7 @@
     });
     keeper::on_document(host, &document);
     host.holdings_changed.notify_waiters();
+    host.spending_changed.notify_one();
     true
 }
 
@@ -162,18 +221,58 @@
 pub async fn follow_directory(host: Arc<Host>) {
     let mut follower = FeedFollower::new("directory", host.platform.directory.clone());
     loop {
-        let looked = follower.look(&host, DIRECTORY_WAIT).await;
-        if let Some((batch, whole)) = looked {
-            adopt_entries(&host, batch, whole);
-            let pause = if keeper::is_loading(&host) { KEEPER_PAUSE } else { DIRECTORY_PAUSE };
-            let _woken = timeout(pause, host.directory_wanted.notified()).await;
+        if !follower.failing {
+            let due = |looked| directory_due(&host, looked);
+            follower.pause(&host, &host.directory_wanted, due).await;
+        }
+        if let Some(looked) = follower.look(&host).await {
+            adopt_entries(&host, looked);
         }
     }
 }
 
-fn adopt_entries(host: &Arc<Host>, batch: FeedBatch, whole: bool) {
+/// Returns when the directory has to be looked at next.
+fn directory_due(host: &Host, looked: Option<ClockInstant>) -> ClockInstant {
+    let Some(looked) = looked else { return ClockInstant::default() };
+    if keeper::is_loading(host) {
+        return looked + LOADING_PAUSE;
+    }
+    if keeper::is_keeping(host) {
+        return looked + KEEPER_PAUSE;
+    }
+    let state = host.state();
+    // Only a host's own looks show that an upstream that it does not reach is back.
+    let alone = !state.directory.unreachable(host.now()).is_empty();
+    let known =
+        if alone { looked } else { state.directory_seen.map_or(looked, |at| at.max(looked)) };
+    known + LOOK_AGE
+}
+
+/// Takes in what another host saw at the store; `state` is that of `host`.
+pub fn adopt_sighting(host: &Host, state: &mut HostState, sighting: &StoreSighting) {
+    let now = host.now();
+    let StoreSighting { configuration, configuration_at, directory, directory_at } = *sighting;
+    if configuration > state.document_version {
+        host.configuration_wanted.notify_one();
+    } else if configuration == state.document_version && state.document.is_some() {
+        let seen = state.store_clock.to_own(now, configuration_at);
+        state.evidence = state.evidence.max(seen);
+    }
+    let seen = state.store_clock.to_own(now, directory_at);
+    if seen > state.directory_seen {
+        if state.directory.digest() == directory {
+            state.directory_seen = seen;
+        } else {
+            host.directory_wanted.notify_one();
+        }
+    }
+}
+
+fn adopt_entries(host: &Arc<Host>, looked: FeedLook) {
+    let FeedLook { started, batch, whole } = looked;
     let now = host.now();
     let mut state = host.state();
+    let before = state.directory.digest();
     let trouble = state.store_trouble;
     if whole {
         let listed: BTreeSet<&str> = batch.rows.iter().map(|row| row.key.as_str()).collect();
@@ -221,9 +320,14 @@
         }
     }
     state.directory.sweep(now);
+    state.directory_seen = state.directory_seen.max(Some(started));
+    let changed = state.directory.digest() != before;
     drop(state);
     keeper::on_directory(host);
     host.holdings_changed.notify_waiters();
+    if changed {
+        host.spending_changed.notify_one();
+    }
 }
 
 fn log_entry(key: &str, cause: &str) {
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -107,6 +107,11 @@
     host.desk.lock().lease.on_doubt();
 }
 
+/// Tells whether this host holds the lease.
+pub fn is_keeping(host: &Host) -> bool {
+    host.desk.lock().keeping
+}
+
 /// Tells whether this host waits for a load to end.
 pub fn is_loading(host: &Host) -> bool {
     let desk = host.desk.lock();
@@ -366,7 +371,9 @@
     if let Some(document) = document {
         set_facts(&mut host.desk.lock(), &document, now);
     }
-    on_directory(host);
+    // Plans start from rows that are read from now on; those known here may be old.
+    host.configuration_wanted.notify_one();
+    host.directory_wanted.notify_one();
     send_beat(host, false);
     host.demand_changed.notify_one();
 }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -5,7 +5,9 @@
 use dotterellane_decisions::quarantine::CrashReport;
 use dotterellane_decisions::team_levels::TeamSpending;
 use dotterellane_decisions::weight_plan::{HeldModel, HostDemand};
-use dotterellane_units::{FenceNumber, HostId, HostIncarnation, RowVersion, ServiceId, UpstreamId};
+use dotterellane_units::{
+    FenceNumber, HostId, HostIncarnation, RowVersion, ServiceId, StoreInstant, UpstreamId,
+};
 use serde::{Deserialize, Serialize};
 
 /// Longest datagram, in bytes.
@@ -43,7 +45,7 @@
 pub struct HostBeat {
     /// Whether the host leaves now.
     pub leaving: bool,
-    /// Whether the store answers it.
+    /// Whether the store answers it and its configuration counts as the newest.
     pub fresh: bool,
     /// What it spent, by team.
     pub spending: Vec<TeamSpending>,
@@ -51,10 +53,26 @@
     pub running: Vec<(UpstreamId, u32)>,
     /// The keeper's lease, if it holds it.
     pub keeper: Option<KeeperMark>,
+    /// What the store showed it last; only the keeper tells.
+    pub sighting: Option<StoreSighting>,
     /// Other daemons that it hears; sent now and then.
     pub peers: Vec<SocketAddr>,
 }
 
+/// What one host saw at the store, and when by the store's clock.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct StoreSighting {
+    /// Version of the configuration.
+    pub configuration: RowVersion,
+    /// When it was the newest.
+    pub configuration_at: StoreInstant,
+    /// Digest of what the directory says of who may get requests.
+    pub directory: u64,
+    /// When it said so.
+    pub directory_at: StoreInstant,
+}
+
 /// The lease of the keeper.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::crashes;
+use crate::followers;
 use crate::keeper;
 use crate::messages::{HostBeat, MAX_DATAGRAM_BYTES, PeerDatagram, PeerNote};
 use crate::state::{Host, KnownKeeper, KnownPeer};
@@ -110,10 +111,11 @@
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
     let beat = HostBeat {
         leaving: host.leaving.is_cancelled(),
-        fresh: state.is_fresh(now, host.settings.freshness),
+        fresh: state.is_fresh(now, host.settings.freshness) && state.reaches_store(),
         spending: state.levels.report(now),
         running: state.own_runs(),
         keeper,
+        sighting: keeper.and_then(|_| state.sighting()),
         peers: if introducing { known.iter().copied().collect() } else { Vec::new() },
     };
     drop(state);
@@ -208,6 +210,9 @@
         peer.fresh = beat.fresh;
         peer.running = beat.running.iter().cloned().collect();
     }
+    if let Some(sighting) = beat.sighting {
+        followers::adopt_sighting(host, &mut state, &sighting);
+    }
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
     drop(state);
     match beat.keeper {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 
 use dotterellane_decisions::quarantine::CrashMachine;
 use dotterellane_decisions::resend_budget::{ResendBudget, ResendLimits};
+use dotterellane_decisions::store_clock::StoreClock;
 use dotterellane_decisions::team_levels::TeamLevels;
 use dotterellane_decisions::weight_plan::{HostDemand, RunningModel, WaitingModel};
 use dotterellane_platform::{PlatformTable, RowFeed};
@@ -23,7 +24,7 @@
 use crate::directory::Directory;
 use crate::document::RoutingDocument;
 use crate::keeper::SharedDesk;
-use crate::messages::KeeperMark;
+use crate::messages::{KeeperMark, StoreSighting};
 use crate::metrics::GatewayMetrics;
 use crate::settings::HostSettings;
 
@@ -84,10 +85,16 @@
     pub document: Option<Arc<RoutingDocument>>,
     /// Version of its row.
     pub document_version: RowVersion,
-    /// Start of the latest call that showed it to be the newest.
+    /// When it was the newest, as the store showed this host or another.
     pub evidence: Option<ClockInstant>,
+    /// When the directory was as it is known here, as the store showed this host or another.
+    pub directory_seen: Option<ClockInstant>,
     /// When the store last failed to answer.
     pub store_trouble: Option<ClockInstant>,
+    /// When the store last answered.
+    pub store_answered: Option<ClockInstant>,
+    /// The store's clock.
+    pub store_clock: StoreClock,
     /// Upstreams.
     pub directory: Directory,
     /// Teams' levels.
@@ -133,7 +140,9 @@
     pub demand_changed: Notify,
     /// Wakes the sender of beats.
     pub spending_changed: Notify,
-    /// Wakes the follower of the directory before its pause is over.
+    /// Wakes the follower of the configuration: there is a newer one.
+    pub configuration_wanted: Notify,
+    /// Wakes the follower of the directory: it changed, or the keeper needs all of it.
     pub directory_wanted: Notify,
     /// Wakes the keeper.
     pub plan_wanted: Notify,
@@ -167,7 +176,10 @@
             document: None,
             document_version: RowVersion::default(),
             evidence: None,
+            directory_seen: None,
             store_trouble: None,
+            store_answered: None,
+            store_clock: StoreClock::default(),
             directory: Directory::default(),
             levels: TeamLevels::new(clock.now(), settings.first_start),
             left: None,
@@ -193,6 +205,7 @@
             holdings_changed: Notify::new(),
             demand_changed: Notify::new(),
             spending_changed: Notify::new(),
+            configuration_wanted: Notify::new(),
             directory_wanted: Notify::new(),
             plan_wanted: Notify::new(),
             leaving: CancellationToken::new(),
@@ -231,6 +244,21 @@
         self.document.is_some() && self.evidence.is_some_and(|seen| now.since(seen) < freshness)
     }
 
+    /// Tells whether the store answered this host the last time that it was asked.
+    pub fn reaches_store(&self) -> bool {
+        self.store_answered >= self.store_trouble
+    }
+
+    /// Returns what the store showed last, unless that is not known or cannot be dated.
+    pub fn sighting(&self) -> Option<StoreSighting> {
+        Some(StoreSighting {
+            configuration: self.document_version,
+            configuration_at: self.store_clock.to_store(self.evidence?)?,
+            directory: self.directory.digest(),
+            directory_at: self.store_clock.to_store(self.directory_seen?)?,
+        })
+    }
+
     /// Returns what this host asks of the models of each service; arrivals start anew.
     pub fn take_demand(&mut self) -> Vec<(ServiceId, HostDemand)> {
         let mut demands: BTreeMap<ServiceId, HostDemand> = BTreeMap::new();
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterellane_units::RowVersion;
+use dotterellane_units::{RowVersion, StoreInstant};
 use futures::future::BoxFuture;
 use thiserror::Error;
 
@@ -29,6 +29,8 @@
     pub rows: Vec<FeedRow>,
     /// Version up to which the rows are told.
     pub version: RowVersion,
+    /// What the store's steady clock showed when it answered.
+    pub answered: StoreInstant,
 }
 
 /// Why a feed did not go on.
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -297,10 +297,15 @@
 }
 
 fn with_rows(code: StatusCode, rows: &[Value], version: u64, more: bool) -> Response<AnswerBody> {
-    let body = json!({"rows": rows, "ver": version, "now_ms": 1, "more_pages": more});
+    let body = json!({"rows": rows, "ver": version, "now_ms": steady_millis(), "more_pages": more});
     whole_answer(code, "application/json", body.to_string())
 }
 
+/// Milliseconds of the store's steady clock, which starts anywhere.
+fn steady_millis() -> u64 {
+    dotterellane_units::boot_clock().now().0 / 1_000_000 + 7_000_000
+}
+
 fn status(code: StatusCode) -> Response<AnswerBody> {
     whole_answer(code, "text/plain", "")
 }
--- a/crates/units/src/instant.rs
+++ b/crates/units/src/instant.rs
@@ -48,6 +48,17 @@
     }
 }
 
+/// A reading of the steady clock of the platform's store, in milliseconds, as all hosts can see it.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub struct StoreInstant(pub u64);
+
+impl fmt::Display for StoreInstant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}", Duration::from_millis(self.0))
+    }
+}
+
 /// A clock that parts read; tests and scenarios put their own in its place.
 #[derive(Clone)]
 pub struct ClockSource(Arc<dyn Fn() -> ClockInstant + Send + Sync>);
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -13,7 +13,7 @@
     AdapterId, DomainId, HostId, KeyId, ModelId, OperatorId, RegionId, RequestId, ServiceId,
     TeamId, UpstreamId, VersionLabel,
 };
-pub use instant::{ClockInstant, ClockSource};
+pub use instant::{ClockInstant, ClockSource, StoreInstant};
 pub use number::{ConfigVersion, FenceNumber, HostIncarnation, RowVersion, SlotNumber};
 pub use parse::UnitError;
 pub use rate::TokenRate;
