Name in beats only the teams that spent of late, and beat slower with more peers

Cause: beats go from every host to every host. Ruled out: beats through one host (half of the way to a redesign of the levels, which a lost host must not upset; open); longer pauses still (a peer counts as silent after 0.7 s, and two lost beats must not do that). Change: a beat names the teams that spent in the last 1.5 s, five beats or more; each eighth, and the answer to a stranger, names all, and a host counts a peer's spending from its first whole report on. The least pause is 4 ms a peer, 0.1 s at least and 0.3 s at most; the keeper does not slow down. Tests: what reports name; a young host learns levels from the first whole report; all runs of random fleets with partial reports.

--- a/crates/decisions/src/team_levels.rs
+++ b/crates/decisions/src/team_levels.rs
@@ -62,6 +62,20 @@
     }
 }
 
+/// Time for which a team whose spending changed is named in all reports; several go out meanwhile, in
+/// case some are lost.
+const REPORT_SPAN: Duration = Duration::from_millis(1_500);
+
+/// What one host spent for its teams.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SpendingReport {
+    /// Whether all teams are named; otherwise those that spent of late.
+    pub whole: bool,
+    /// Spending by team.
+    pub teams: Vec<TeamSpending>,
+}
+
 /// What one host spent for one team since its start, and the level it believes in.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -80,6 +94,7 @@
     level: f64,
     at: ClockInstant,
     spent: i64,
+    changed: Option<ClockInstant>,
 }
 
 #[derive(Clone, Debug)]
@@ -132,7 +147,7 @@
                     let first = if self.starts_full { 1.0 } else { FIRST_LEVEL } * limit.burst;
                     let level =
                         self.learned.get(&team).map_or(first, |heard| heard.min(limit.burst));
-                    TeamLevel { limit, level, at: now, spent: 0 }
+                    TeamLevel { limit, level, at: now, spent: 0, changed: None }
                 }
             };
             self.teams.insert(team, entry);
@@ -165,38 +180,45 @@
         }
         entry.level -= cost;
         entry.spent = entry.spent.saturating_add_unsigned(tokens.0);
+        entry.changed = Some(now);
         Ok(())
     }
 
     /// Gives back tokens of a request that did not run.
-    pub fn refund(&mut self, team: &TeamId, tokens: TokenCount) {
+    pub fn refund(&mut self, now: ClockInstant, team: &TeamId, tokens: TokenCount) {
         if let Some(entry) = self.teams.get_mut(team) {
             #[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
             let cost = tokens.0 as f64;
             entry.level = (entry.level + cost).min(entry.limit.burst);
             entry.spent = entry.spent.saturating_sub_unsigned(tokens.0);
+            entry.changed = Some(now);
         }
     }
 
-    /// Returns what to report to the peers.
-    pub fn report(&mut self, now: ClockInstant) -> Vec<TeamSpending> {
+    /// Returns what to report to the peers: all teams if `whole`, otherwise those that spent of late.
+    pub fn report(&mut self, now: ClockInstant, whole: bool) -> SpendingReport {
         let part = self.own_part(now);
-        let entries = self.teams.iter_mut().map(|(team, entry)| {
+        let named = |entry: &TeamLevel| {
+            whole || entry.changed.is_some_and(|changed| now.since(changed) < REPORT_SPAN)
+        };
+        let entries = self.teams.iter_mut().filter(|(_, entry)| named(entry));
+        let entries = entries.map(|(team, entry)| {
             refill(entry, now, part);
             #[expect(clippy::cast_possible_truncation, reason = "levels are far below 2^52")]
             let level = entry.level as i64;
             TeamSpending { team: team.clone(), total: entry.spent, level }
         });
-        entries.collect()
+        SpendingReport { whole, teams: entries.collect() }
     }
 
-    /// Takes in the report of a peer.
+    /// Takes in the report of a peer. The first of a peer counts only if it is whole: a host that
+    /// starts learns the levels from it.
     pub fn absorb(
         &mut self,
         now: ClockInstant,
         peer: &HostId,
         incarnation: HostIncarnation,
-        report: &[TeamSpending],
+        report: &SpendingReport,
         leaving: bool,
     ) {
         let learning = now.since(self.started) < LEARNING_SPAN && !self.starts_full;
@@ -206,9 +228,10 @@
             Some(known) if known.incarnation == incarnation => {
                 (std::mem::take(&mut known.totals), false)
             }
+            _ if !report.whole => return,
             _ => (BTreeMap::new(), true),
         };
-        for spending in report {
+        for spending in &report.teams {
             let before = totals.insert(spending.team.clone(), spending.total).unwrap_or(0);
             #[expect(clippy::cast_precision_loss, reason = "levels are far below 2^52")]
             let (spent, level) = ((spending.total - before) as f64, spending.level as f64);
--- a/crates/decisions/tests/team_levels.rs
+++ b/crates/decisions/tests/team_levels.rs
@@ -31,17 +31,21 @@
 struct Fleet {
     hosts: Vec<TeamLevels>,
     incarnations: Vec<u64>,
+    /// Reports of each host so far.
+    reports: Vec<u32>,
 }
 
 impl Fleet {
     fn new(count: usize, now: ClockInstant) -> Self {
         let hosts = (0..count).map(|_| levels(now, true)).collect();
-        Self { hosts, incarnations: vec![1; count] }
+        Self { hosts, incarnations: vec![1; count], reports: vec![0; count] }
     }
 
     fn restart(&mut self, index: usize, now: ClockInstant) {
         self.hosts[index] = levels(now, false);
         self.incarnations[index] += 1;
+        // The others see a stranger and introduce themselves.
+        self.reports.fill(0);
     }
 
     fn report<H>(&mut self, now: ClockInstant, leaving: &[usize], hears: H)
@@ -49,7 +53,9 @@
         H: Fn(usize, usize) -> bool,
     {
         for from in 0..self.hosts.len() {
-            let report = self.hosts[from].report(now);
+            let whole = self.reports[from].is_multiple_of(8);
+            self.reports[from] += 1;
+            let report = self.hosts[from].report(now, whole);
             let incarnation = HostIncarnation(self.incarnations[from]);
             for to in 0..self.hosts.len() {
                 if to != from && hears(from, to) {
@@ -80,6 +86,40 @@
     expect_that!(fleet.hosts[1].charge(at(10), &team(), TokenCount(900)), err(anything()));
 }
 
+#[gtest]
+fn levels_report_names_teams_that_spent_of_late_or_all() {
+    let mut levels = levels(at(0), true);
+    let other: TeamId = "team-b".parse().expect("valid id");
+    let limit = TeamLimit { rate: RATE, burst: RATE };
+    levels.set_limits(at(0), [(team(), limit), (other.clone(), limit)]);
+    expect_that!(levels.report(at(0), false).teams, is_empty());
+    expect_that!(levels.charge(at(0), &team(), TokenCount(10)), ok(anything()));
+    let names = |levels: &mut TeamLevels, now, whole| {
+        let report = levels.report(now, whole);
+        report.teams.into_iter().map(|spending| spending.team).collect::<Vec<_>>()
+    };
+    expect_that!(names(&mut levels, at(1_400), false), eq(&vec![team()]));
+    expect_that!(names(&mut levels, at(1_600), false), is_empty());
+    expect_that!(names(&mut levels, at(1_600), true), eq(&vec![team(), other]));
+    levels.refund(at(2_000), &team(), TokenCount(10));
+    expect_that!(names(&mut levels, at(2_100), false), eq(&vec![team()]));
+}
+
+#[gtest]
+fn levels_are_learnt_from_the_first_whole_report() {
+    let mut old = levels(at(0), true);
+    expect_that!(old.charge(at(0), &team(), TokenCount(900)), ok(anything()));
+    let mut young = levels(at(1), false);
+    let report = |old: &mut TeamLevels, whole| old.report(at(1), whole);
+    let incarnation = HostIncarnation(1);
+    young.absorb(at(1), &host(0), incarnation, &report(&mut old, false), false);
+    // A quarter of the burst is what a host counts on that has heard nothing.
+    expect_that!(young.charge(at(1), &team(), TokenCount(200)), ok(anything()));
+    young.refund(at(1), &team(), TokenCount(200));
+    young.absorb(at(1), &host(0), incarnation, &report(&mut old, true), false);
+    expect_that!(young.charge(at(1), &team(), TokenCount(200)), err(anything()));
+}
+
 #[gtest]
 fn levels_stay_within_rate_and_burst_while_reports_come() {
     let mut fleet = Fleet::new(9, at(0));
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -109,7 +109,7 @@
     if let (Err(refusal), Some((team, _))) = (&answered, &team)
         && refusal.status == StatusCode::SERVICE_UNAVAILABLE
     {
-        host.state().levels.refund(team, cost);
+        host.state().levels.refund(host.now(), team, cost);
     }
     answered
 }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use dotterellane_decisions::quarantine::CrashReport;
-use dotterellane_decisions::team_levels::TeamSpending;
+use dotterellane_decisions::team_levels::SpendingReport;
 use dotterellane_decisions::weight_plan::{HeldModel, HostDemand};
 use dotterellane_units::{
     FenceNumber, HostId, HostIncarnation, RowVersion, ServiceId, StoreInstant, UpstreamId,
@@ -48,7 +48,7 @@
     /// Whether the store answers it and its configuration counts as the newest.
     pub fresh: bool,
     /// What it spent, by team.
-    pub spending: Vec<TeamSpending>,
+    pub spending: SpendingReport,
     /// Requests that it runs, by upstream.
     pub running: Vec<(UpstreamId, u32)>,
     /// The keeper's lease, if it holds it.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,13 +16,16 @@
 use crate::messages::{HostBeat, MAX_DATAGRAM_BYTES, PeerDatagram, PeerNote};
 use crate::state::{Host, KnownKeeper, KnownPeer};
 
-/// Longest time between two beats.
-const BEAT_PAUSE: Duration = Duration::from_millis(250);
+/// Longest time between two beats. Two that are lost in a row must not make a peer count as silent.
+const BEAT_PAUSE: Duration = Duration::from_millis(300);
 
 /// Least time between two beats.
 const LEAST_BEAT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Beats between two that name the peers and go to the seeds as well.
+/// Least time between two beats for each peer that gets them.
+const BEAT_PAUSE_A_PEER: Duration = Duration::from_millis(4);
+
+/// Beats between two that introduce.
 const INTRODUCTION_BEATS: u32 = 8;
 
 /// Least time between two reports of demand.
@@ -93,13 +96,23 @@
         let introducing = count.is_multiple_of(INTRODUCTION_BEATS);
         send_beat(&host, introducing);
         count = count.wrapping_add(1);
-        sleep(LEAST_BEAT_PAUSE).await;
-        let pause = BEAT_PAUSE - LEAST_BEAT_PAUSE;
-        let _woken = timeout(pause, host.spending_changed.notified()).await;
+        let least = least_beat_pause(&host);
+        sleep(least).await;
+        let _woken = timeout(BEAT_PAUSE - least, host.spending_changed.notified()).await;
+    }
+}
+
+/// Returns the least time between two beats: longer with more peers, since all get all beats. The
+/// keeper's carry its lease and do not slow down.
+fn least_beat_pause(host: &Host) -> Duration {
+    if keeper::is_keeping(host) {
+        return LEAST_BEAT_PAUSE;
     }
+    let peers = u32::try_from(host.state().peers.len()).unwrap_or(u32::MAX);
+    BEAT_PAUSE_A_PEER.saturating_mul(peers).clamp(LEAST_BEAT_PAUSE, BEAT_PAUSE)
 }
 
-/// Sends one beat now; one that introduces names the peers and goes to the seeds too.
+/// Sends one beat now; one that introduces names the peers and all teams, and goes to the seeds too.
 pub fn send_beat(host: &Host, introducing: bool) {
     let now = host.now();
     let keeper = keeper::mark(host);
@@ -112,7 +125,7 @@
     let beat = HostBeat {
         leaving: host.leaving.is_cancelled(),
         fresh: state.is_fresh(now, host.settings.freshness) && state.reaches_store(),
-        spending: state.levels.report(now),
+        spending: state.levels.report(now, introducing),
         running: state.own_runs(),
         keeper,
         sighting: keeper.and_then(|_| state.sighting()),
