--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -3,13 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::{StreamExt, stream};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
@@ -48,10 +50,50 @@
     pub body: Bytes,
     /// Whether it ran.
     pub ran: bool,
+    /// When it came.
+    pub at: Instant,
+}
+
+/// Space for weights that a runner has.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineSpace {
+    /// Models, all of one size.
+    pub models: usize,
+    /// Adapters.
+    pub adapters: usize,
+}
+
+/// Requests that meet a fault by chance.
+#[derive(Debug)]
+struct FaultChance {
+    random: Pcg64Mcg,
+    part: f64,
+}
+
+impl FaultChance {
+    fn draw(&mut self, events: u64) -> Option<EngineFault> {
+        if !self.random.random_bool(self.part) {
+            return None;
+        }
+        Some(match self.random.random_range(0..6) {
+            0 => EngineFault::NotRun,
+            1 => EngineFault::LosesAnswer,
+            2 => EngineFault::BreaksAt(self.random.random_range(1..=events)),
+            3 => EngineFault::Foreign,
+            4 => EngineFault::Fails,
+            _ => EngineFault::Slow(self.random.random_range(50..800)),
+        })
+    }
 }
 
 #[derive(Debug, Default)]
 struct EngineState {
+    born: u64,
+    space: Option<EngineSpace>,
+    load_span: Duration,
+    chance: Option<FaultChance>,
+    wrongs: Vec<String>,
+    fence: Option<(u64, String)>,
     models: BTreeMap<String, BTreeSet<String>>,
     disk: BTreeSet<String>,
     accepted: u64,
@@ -96,6 +138,7 @@
             models: models.iter().map(|name| ((*name).to_owned(), BTreeSet::new())).collect(),
             disk: disk.iter().map(|name| (*name).to_owned()).collect(),
             events: 6,
+            born: 1,
             ..EngineState::default()
         };
         let state = Arc::new(Mutex::new(state));
@@ -117,13 +160,41 @@
         json!({
             "backend": service, "addr": self.server.address.to_string(), "zone": "z1",
             "revision": "v1", "slots": 8, "state": stage, "cold_left_ms": 0, "sequence": beat,
-            "born": 1, "stage": "both", "models": state.model_list(),
+            "born": state.born, "stage": "both", "models": state.model_list(),
             "available": {"mem_held": [], "disk_held": state.disk},
         })
         .to_string()
         .into_bytes()
     }
 
+    /// Lets it check orders against `space`, and take `load_span` for each load.
+    pub fn set_space(&self, space: EngineSpace, load_span: Duration) {
+        let mut state = lock(&self.state);
+        state.space = Some(space);
+        state.load_span = load_span;
+    }
+
+    /// Lets a part of all requests from now on meet a fault; 0 ends that.
+    pub fn set_fault_part(&self, seed: u64, part: f64) {
+        let random = Pcg64Mcg::seed_from_u64(seed);
+        lock(&self.state).chance = (part > 0.0).then_some(FaultChance { random, part });
+    }
+
+    /// Starts it anew: it holds nothing but its disk, and knows nothing of before.
+    pub fn restart(&self) {
+        let mut state = lock(&self.state);
+        state.born += 1;
+        state.models.clear();
+        state.accepted = 0;
+        state.busy = false;
+        state.fence = None;
+    }
+
+    /// Returns what was wrong with orders: too much for its space, or holders in turn.
+    pub fn wrongs(&self) -> Vec<String> {
+        lock(&self.state).wrongs.clone()
+    }
+
     /// Lets the next request meet a fault.
     pub fn push_fault(&self, fault: EngineFault) {
         lock(&self.state).faults.push_back(fault);
@@ -153,6 +224,32 @@
             .collect()
     }
 
+    /// Notes an order of a holder that another one followed.
+    fn judge_holder(&mut self, order: &Value) {
+        let fence = order["fence"].as_u64().unwrap_or(0);
+        let holder = order["holder"].as_str().unwrap_or("").to_owned();
+        if let Some((last, of)) = &self.fence
+            && (fence < *last || (fence == *last && holder != *of))
+        {
+            self.wrongs.push(format!("order {order} after one of {of} with fence {last}"));
+        }
+        self.fence = Some((fence, holder));
+    }
+
+    /// Notes an order that the runner has no room for.
+    fn judge_space(&mut self, order: &Value) {
+        let Some(space) = self.space.filter(|_| order["opcode"] == "load") else { return };
+        let model = order["model"].as_str().unwrap_or("");
+        let adapters: usize = self.models.values().map(BTreeSet::len).sum();
+        let full = match order["adapter"].as_str() {
+            None => !self.models.contains_key(model) && self.models.len() >= space.models,
+            Some(name) => !self.holds(&format!("{model}/{name}")) && adapters >= space.adapters,
+        };
+        if full {
+            self.wrongs.push(format!("order {order} with {:?} loaded", self.models));
+        }
+    }
+
     fn holds(&self, choice: &str) -> bool {
         match choice.split_once('/') {
             None => self.models.contains_key(choice),
@@ -188,7 +285,7 @@
             let state = lock(&state);
             let report = json!({
                 "stage": "both", "state": "ready", "models": state.model_list(),
-                "busy": state.busy, "sequence": state.accepted, "born": 1,
+                "busy": state.busy, "sequence": state.accepted, "born": state.born,
                 "available": {"mem_held": [], "disk_held": state.disk},
             });
             return whole_answer(StatusCode::OK, "application/json", report.to_string());
@@ -200,7 +297,9 @@
     let choice = text("x-model");
     let (fault, events, ran) = {
         let mut state = lock(&state);
-        let fault = state.faults.pop_front();
+        let events = state.events;
+        let drawn = state.chance.as_mut().and_then(|chance| chance.draw(events));
+        let fault = state.faults.pop_front().or(drawn);
         let absent = !choice.is_empty() && !state.holds(&choice);
         let ran = !absent && fault != Some(EngineFault::NotRun);
         state.seen.push(SeenRequest {
@@ -209,6 +308,7 @@
             headers: parts.headers.clone(),
             body,
             ran,
+            at: Instant::now(),
         });
         if absent {
             return plain(StatusCode::MISDIRECTED_REQUEST);
@@ -244,21 +344,30 @@
     answer
 }
 
-fn obey(state: &Mutex<EngineState>, body: &Bytes) -> Response<AnswerBody> {
+fn obey(shared: &Arc<Mutex<EngineState>>, body: &Bytes) -> Response<AnswerBody> {
     let Ok(order) = serde_json::from_slice::<Value>(body) else {
         return plain(StatusCode::BAD_REQUEST);
     };
-    let mut state = lock(state);
+    let mut state = lock(shared);
     state.orders.push(order.clone());
+    state.judge_holder(&order);
     if order["expect"].as_u64().is_some_and(|expected| expected != state.accepted) {
         return plain(StatusCode::CONFLICT);
     }
+    if state.busy {
+        return plain(StatusCode::CONFLICT);
+    }
+    state.judge_space(&order);
     let model = order["model"].as_str().unwrap_or("").to_owned();
     match (order["opcode"].as_str(), order["adapter"].as_str()) {
-        (Some("load"), None) => {
+        (Some("load"), None) if state.load_span.is_zero() => {
             state.models.entry(model.clone()).or_default();
             state.disk.insert(model);
         }
+        (Some("load"), None) => {
+            state.busy = true;
+            tokio::spawn(finish_load(shared.clone(), model, state.born, state.load_span));
+        }
         (Some("load"), Some(adapter)) => {
             let adapter = adapter.to_owned();
             state.models.entry(model).or_default().insert(adapter);
@@ -277,6 +386,16 @@
     plain(StatusCode::ACCEPTED)
 }
 
+async fn finish_load(shared: Arc<Mutex<EngineState>>, model: String, born: u64, span: Duration) {
+    sleep(span).await;
+    let mut state = lock(&shared);
+    if state.born == born {
+        state.busy = false;
+        state.models.entry(model.clone()).or_default();
+        state.disk.insert(model);
+    }
+}
+
 fn event(number: u64) -> Bytes {
     Bytes::from(format!("id: {number}\ndata: piece {number}\n\n"))
 }
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -1,7 +1,9 @@
-//! Stand-ins of the users' platform: its store, and runners that register there.
+//! Stand-ins of the users' platform: its store, runners that register there, and links between them.
 
 pub mod engine;
+pub mod link;
 pub mod store;
 
-pub use engine::{EngineFault, SeenRequest, SiteEngine};
+pub use engine::{EngineFault, EngineSpace, SeenRequest, SiteEngine};
+pub use link::{LinkMode, SiteLink};
 pub use store::{SiteStore, StoreFault};
