Apply changed settings, and catch signals before the settings are read

Cause: the settings file may change at any time, told by SIGHUP or not; it was read, checked and reported, but not applied. Change: seeds, freshness, time to stop, budgets of further sends and tolerances live with the host's state and change at once, teams' limits with them; names, addresses and the gap between keepers are named in a line that says they need a restart. Signals are caught first in main.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -132,7 +132,7 @@
     state: &HostState,
     call: &GatewayCall,
 ) -> Result<Admission, GatewayRefusal> {
-    let fresh = state.is_fresh(host.now(), host.settings.freshness);
+    let fresh = state.is_fresh(host.now());
     let stale = || GatewayRefusal::not_run("stale_configuration", STALE_RETRY);
     let unless_stale = |refusal: GatewayRefusal| if fresh { refusal } else { stale() };
     let Some(document) = &state.document else {
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -195,14 +195,9 @@
     };
     let now = host.now();
     let mut state = host.state();
-    let tolerance = host.settings.tolerance;
-    let limits = document.teams.iter().map(|team| {
-        let limit = if team.counts_tokens { team.limit.lent(tolerance) } else { team.limit };
-        (team.name.clone(), limit)
-    });
-    state.levels.set_limits(now, limits);
     state.document = Some(document.clone());
     state.document_version = version;
+    state.set_limits(now);
     drop(state);
     spdlog::info!("configuration in use", kv: {
         revision = document.revision,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -124,17 +124,18 @@
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
     let beat = HostBeat {
         leaving: host.leaving.is_cancelled(),
-        fresh: state.is_fresh(now, host.settings.freshness) && state.reaches_store(),
+        fresh: state.is_fresh(now) && state.reaches_store(),
         spending: state.levels.report(now, introducing),
         running: state.own_runs(),
         keeper,
         sighting: keeper.and_then(|_| state.sighting()),
         peers: if introducing { known.iter().copied().collect() } else { Vec::new() },
     };
+    let seeds = if introducing { state.tuning.seeds.clone() } else { Vec::new() };
     drop(state);
     let mut addresses = known;
     if introducing {
-        addresses.extend(host.settings.seeds.iter().copied());
+        addresses.extend(seeds);
         addresses.remove(&host.settings.peers);
     }
     let addresses: Vec<SocketAddr> = addresses.into_iter().collect();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,7 +7,7 @@
 use dotterellane_units::{HostIncarnation, boot_clock};
 use thiserror::Error;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{sleep, timeout};
 
 use crate::call::WireFormat;
@@ -48,21 +48,41 @@
     move |error| RunError::Start { step, cause: error.to_string() }
 }
 
+/// Signals that the daemon heeds.
+#[derive(Debug)]
+pub struct HostSignals {
+    stop: Signal,
+    hang_up: Signal,
+}
+
+impl HostSignals {
+    /// Begins to receive them; before that they end the process.
+    ///
+    /// # Errors
+    /// Fails if they cannot be received.
+    pub fn receive() -> Result<Self, RunError> {
+        Ok(Self {
+            stop: signal(SignalKind::terminate()).map_err(start_error("await SIGTERM"))?,
+            hang_up: signal(SignalKind::hangup()).map_err(start_error("await SIGHUP"))?,
+        })
+    }
+}
+
 /// Serves until the process is asked to stop, then until what runs is done.
 ///
 /// # Errors
-/// Fails if a socket cannot be bound or signals cannot be received.
+/// Fails if a socket cannot be bound.
 pub async fn run(
     settings: HostSettings,
     settings_file: PathBuf,
     wire: WireFormat,
     platform: HostPlatform,
+    signals: HostSignals,
 ) -> Result<(), RunError> {
     let clock = boot_clock();
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = HostIncarnation(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX));
-    let mut stop = signal(SignalKind::terminate()).map_err(start_error("await SIGTERM"))?;
-    let hang_up = signal(SignalKind::hangup()).map_err(start_error("await SIGHUP"))?;
+    let HostSignals { mut stop, hang_up } = signals;
     let callers = server::listen("listen for callers", settings.callers)
         .await
         .map_err(start_error("start"))?;
@@ -74,7 +94,6 @@
         .map_err(start_error("start"))?;
     let socket =
         UdpSocket::bind(settings.peers).await.map_err(start_error("bind socket of peers"))?;
-    let grace = settings.shutdown;
     let host = Host::new(settings, incarnation, wire, platform, clock, socket)
         .map_err(start_error("register metrics"))?;
     let host = Arc::new(host);
@@ -97,14 +116,18 @@
     tokio::spawn(server::serve_callers(callers, host.clone()));
     tokio::spawn(watch_settings(host.clone(), settings_file, hang_up));
     stop.recv().await;
-    leave(&host, grace).await;
+    leave(&host).await;
     Ok(())
 }
 
-async fn leave(host: &Arc<Host>, grace: Duration) {
+async fn leave(host: &Arc<Host>) {
     spdlog::info!("daemon is asked to stop", kv: { host = host.settings.host.as_str() });
     let started = host.now();
-    host.state().left = Some(started);
+    let grace = {
+        let mut state = host.state();
+        state.left = Some(started);
+        state.tuning.shutdown
+    };
     host.leaving.cancel();
     host.holdings_changed.notify_waiters();
     peers::send_beat(host, false);
@@ -125,8 +148,8 @@
     sleep(LAST_LINES).await;
 }
 
-/// Reads the settings file again after SIGHUP or when it changed, and says what came of it.
-async fn watch_settings(host: Arc<Host>, file: PathBuf, mut hang_up: tokio::signal::unix::Signal) {
+/// Reads the settings file again after SIGHUP or when it changed, and applies what may change.
+async fn watch_settings(host: Arc<Host>, file: PathBuf, mut hang_up: Signal) {
     let mut known = std::fs::read_to_string(&file).ok();
     loop {
         let told = timeout(SETTINGS_LOOK, hang_up.recv()).await.is_ok();
@@ -143,10 +166,7 @@
             continue;
         }
         match (host.wire.settings)(&text) {
-            Ok(settings) => {
-                let changed = settings != host.settings;
-                spdlog::info!("settings read again", kv: { changed = changed });
-            }
+            Ok(settings) => apply_settings(&host, &settings),
             Err(error) => spdlog::error!("settings are not valid; the last ones stay", kv: {
                 cause = error.to_string().as_str(),
             }),
@@ -154,3 +174,19 @@
         known = Some(text);
     }
 }
+
+fn apply_settings(host: &Host, settings: &HostSettings) {
+    let now = host.now();
+    let mut state = host.state();
+    let changed = state.tuning != settings.tuning;
+    if changed {
+        state.tuning = settings.tuning.clone();
+        state.set_limits(now);
+    }
+    drop(state);
+    spdlog::info!("settings read again", kv: { applied = changed });
+    let kept = host.settings.differing(settings);
+    if !kept.is_empty() {
+        spdlog::warn!("settings need a restart", kv: { fields = kept.join(", ").as_str() });
+    }
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -123,7 +123,7 @@
 /// Tells whether this host should get new callers.
 fn is_ready(host: &Host) -> bool {
     let state = host.state();
-    !host.leaving.is_cancelled() && state.is_fresh(host.now(), host.settings.freshness)
+    !host.leaving.is_cancelled() && state.is_fresh(host.now())
 }
 
 /// Binds a listening socket.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,4 +1,4 @@
-//! What a host's daemon is told at its start.
+//! What a host's daemon is told at its start, and again when its settings change.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -21,10 +21,19 @@
     pub peers: SocketAddr,
     /// Where metrics are served.
     pub metrics: SocketAddr,
-    /// Addresses of some other daemons; they may be out of date.
-    pub seeds: Vec<SocketAddr>,
     /// Whether the whole fleet starts for the first time.
     pub first_start: bool,
+    /// Time between the last order of one keeper and the first of the next.
+    pub keeper_gap: Duration,
+    /// What may change while the daemon runs.
+    pub tuning: HostTuning,
+}
+
+/// Settings that may change while the daemon runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HostTuning {
+    /// Addresses of some other daemons; they may be out of date.
+    pub seeds: Vec<SocketAddr>,
     /// Time after the start of a look at the configuration for which it counts as the newest.
     pub freshness: Duration,
     /// Time from the request to stop until the process is killed.
@@ -37,6 +46,21 @@
     pub resend_window: Duration,
     /// How far the fleet may exceed a team's limit in tokens.
     pub tolerance: LimitTolerance,
-    /// Time between the last order of one keeper and the first of the next.
-    pub keeper_gap: Duration,
+}
+
+impl HostSettings {
+    /// Returns the settings other than the tuning that differ in `newer`; they need a restart.
+    pub fn differing(&self, newer: &Self) -> Vec<&'static str> {
+        let checks = [
+            ("host", self.host != newer.host),
+            ("domain", self.domain != newer.domain),
+            ("callers", self.callers != newer.callers),
+            ("readiness", self.readiness != newer.readiness),
+            ("peers", self.peers != newer.peers),
+            ("metrics", self.metrics != newer.metrics),
+            ("keeper_gap", self.keeper_gap != newer.keeper_gap),
+        ];
+        // Whether the fleet starts for the first time means nothing to a daemon that runs.
+        checks.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use dotterellane_decisions::quarantine::CrashMachine;
 use dotterellane_decisions::resend_budget::{ResendBudget, ResendLimits};
@@ -26,7 +25,7 @@
 use crate::keeper::SharedDesk;
 use crate::messages::{KeeperMark, StoreSighting};
 use crate::metrics::GatewayMetrics;
-use crate::settings::HostSettings;
+use crate::settings::{HostSettings, HostTuning};
 
 /// What the platform offers the daemon.
 #[derive(Clone, Debug)]
@@ -81,6 +80,8 @@
 /// Everything that one host's daemon knows.
 #[derive(Debug)]
 pub struct HostState {
+    /// Settings that may change, as they are now.
+    pub tuning: HostTuning,
     /// Newest configuration known.
     pub document: Option<Arc<RoutingDocument>>,
     /// Version of its row.
@@ -173,6 +174,7 @@
         socket: UdpSocket,
     ) -> prometheus::Result<Self> {
         let state = HostState {
+            tuning: settings.tuning.clone(),
             document: None,
             document_version: RowVersion::default(),
             evidence: None,
@@ -229,19 +231,27 @@
     pub fn resend_limits(&self, state: &HostState) -> ResendLimits {
         let hosts = state.peers.len() + 1;
         #[expect(clippy::cast_precision_loss, reason = "hosts are few")]
-        let slack = self.settings.resend_slack / hosts as f64;
-        ResendLimits {
-            ratio: self.settings.resend_ratio,
-            slack,
-            window: self.settings.resend_window,
-        }
+        let slack = state.tuning.resend_slack / hosts as f64;
+        ResendLimits { ratio: state.tuning.resend_ratio, slack, window: state.tuning.resend_window }
     }
 }
 
 impl HostState {
     /// Tells whether the configuration counts as the newest.
-    pub fn is_fresh(&self, now: ClockInstant, freshness: Duration) -> bool {
-        self.document.is_some() && self.evidence.is_some_and(|seen| now.since(seen) < freshness)
+    pub fn is_fresh(&self, now: ClockInstant) -> bool {
+        let in_time = |seen: ClockInstant| now.since(seen) < self.tuning.freshness;
+        self.document.is_some() && self.evidence.is_some_and(in_time)
+    }
+
+    /// Sets the teams' limits from the configuration and the tuning.
+    pub fn set_limits(&mut self, now: ClockInstant) {
+        let Some(document) = &self.document else { return };
+        let tolerance = self.tuning.tolerance;
+        let limits = document.teams.iter().map(|team| {
+            let limit = if team.counts_tokens { team.limit.lent(tolerance) } else { team.limit };
+            (team.name.clone(), limit)
+        });
+        self.levels.set_limits(now, limits);
     }
 
     /// Tells whether the store answered this host the last time that it was asked.
