Write log lines from a thread, so that a stalled reader stalls nobody

Cause: lines went through a bounded queue, but the task that wrote them to standard output ran on the daemon's only thread. A reader that stood still filled the pipe, and the 301st request got no answer. Ruled out: a non-blocking standard output, which changes it for all who share it. Change: a thread with a small stack takes the lines; the queue drops and counts what does not fit, as before. Test: 2,800 calls with a log pipe that nobody reads are answered, and lines count as dropped; it failed before.

--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -3,16 +3,20 @@
 use std::io::{self, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
 
 use miette::IntoDiagnostic;
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
 use spdlog::{LevelFilter, Logger};
-use tokio::sync::mpsc;
 
 /// Lines that may wait to be written; more are dropped and counted.
 const QUEUE_LINES: usize = 2_048;
 
+/// Stack of the thread that writes them, in bytes.
+const WRITER_STACK_BYTES: usize = 64 << 10;
+
 /// Lines dropped since the start because the queue was full.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 
@@ -22,7 +26,7 @@
 }
 
 struct LineQueue {
-    lines: mpsc::Sender<Vec<u8>>,
+    lines: SyncSender<Vec<u8>>,
 }
 
 impl Write for LineQueue {
@@ -38,15 +42,12 @@
     }
 }
 
-/// Sends log lines to standard output through a bounded queue.
+/// Sends log lines to standard output through a bounded queue and a thread that may block on it.
 ///
 /// # Errors
-/// Fails if the logger cannot be built.
-///
-/// # Panics
-/// Panics outside a `tokio` runtime.
+/// Fails if the logger or the thread cannot be had.
 pub fn start() -> miette::Result<()> {
-    let (lines, queued) = mpsc::channel(QUEUE_LINES);
+    let (lines, queued) = sync_channel(QUEUE_LINES);
     let sink = WriteSink::builder()
         .target(LineQueue { lines })
         .formatter(JsonFormatter::new())
@@ -55,14 +56,18 @@
     let logger =
         Logger::builder().sink(sink).level_filter(LevelFilter::All).build().into_diagnostic()?;
     spdlog::set_default_logger(Arc::new(logger));
-    tokio::spawn(write_lines(queued));
+    thread::Builder::new()
+        .name("log".to_owned())
+        .stack_size(WRITER_STACK_BYTES)
+        .spawn(move || write_lines(&queued))
+        .into_diagnostic()?;
     Ok(())
 }
 
-async fn write_lines(mut queued: mpsc::Receiver<Vec<u8>>) {
+fn write_lines(queued: &Receiver<Vec<u8>>) {
     let mut output = io::stdout();
     let mut batch = Vec::new();
-    while let Some(line) = queued.recv().await {
+    while let Ok(line) = queued.recv() {
         batch.extend_from_slice(&line);
         while let Ok(line) = queued.try_recv() {
             batch.extend_from_slice(&line);
