--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -23,7 +23,9 @@
 pub struct StandinServer {
     /// Address that it listens on.
     pub address: SocketAddr,
-    _stop: DropGuard,
+    /// Ends it, and all its connections, when cancelled.
+    pub stop: CancellationToken,
+    _guard: DropGuard,
 }
 
 /// Listens on a loopback port chosen by the system and answers with `handler`.
@@ -39,7 +41,7 @@
     let address = listener.local_addr()?;
     let stop = CancellationToken::new();
     tokio::spawn(stop.clone().run_until_cancelled_owned(accept(listener, handler, stop.clone())));
-    Ok(StandinServer { address, _stop: stop.drop_guard() })
+    Ok(StandinServer { address, stop: stop.clone(), _guard: stop.drop_guard() })
 }
 
 async fn accept<H, HF>(listener: TcpListener, handler: H, stop: CancellationToken)
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use crate::http_server::{AnswerBody, StandinServer, start, whole_answer};
 
@@ -93,6 +94,8 @@
     load_span: Duration,
     chance: Option<FaultChance>,
     wrongs: Vec<String>,
+    /// Path at which a request crashes the runner, and what ends its server.
+    deadly: Option<(String, CancellationToken)>,
     fence: Option<(u64, String)>,
     models: BTreeMap<String, BTreeSet<String>>,
     disk: BTreeSet<String>,
@@ -180,6 +183,11 @@
         lock(&self.state).chance = (part > 0.0).then_some(FaultChance { random, part });
     }
 
+    /// Lets requests for `target` crash it: it stops listening, and all its connections break.
+    pub fn crash_on(&self, target: &str) {
+        lock(&self.state).deadly = Some((target.to_owned(), self.server.stop.clone()));
+    }
+
     /// Starts it anew: it holds nothing but its disk, and knows nothing of before.
     pub fn restart(&self) {
         let mut state = lock(&self.state);
@@ -315,6 +323,11 @@
         }
         (fault, state.events, ran)
     };
+    let deadly = lock(&state).deadly.clone().filter(|(target, _)| *target == parts.uri.to_string());
+    if let Some((_, stop)) = deadly {
+        stop.cancel();
+        return broken_answer();
+    }
     if !ran {
         let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
         set(&mut answer, "x-not-run", "1");
