--- a/crates/decisions/tests/weight_plan.rs
+++ b/crates/decisions/tests/weight_plan.rs
@@ -5,7 +5,7 @@
 
 use dotterellane_decisions::weight_plan::{
     HeldModel, HostDemand, LoadTier, ModelFacts, OrderKind, OrderOutcome, PlanFacts, PlannedOrder,
-    RunnerReport, STORE_WINDOW, WaitingModel, WeightPlan,
+    RunnerReport, STORE_LOADS_AT_ONCE, STORE_WINDOW, WaitingModel, WeightPlan,
 };
 use dotterellane_units::{AdapterId, ByteSize, ClockInstant, HostId, ModelId, UpstreamId};
 use googletest::prelude::*;
@@ -560,3 +560,91 @@
     expect_that!(load.tier, some(eq(LoadTier::Disk)));
     expect_that!(load.runner, eq(&runner_name(1)));
 }
+
+/// Runners that start empty, so that all loads come from the weight store and take `load_span` ms.
+/// Returns when each load began, over ten seconds in which every model is wanted.
+fn store_loads_of_empty_fleet(load_span: u64) -> Vec<u64> {
+    const EMPTY_RUNNERS: usize = 30;
+    let mut facts = facts();
+    let of_all = facts.models[&model(0)].clone();
+    facts.models = (0..3 * EMPTY_RUNNERS).map(|index| (model(index), of_all.clone())).collect();
+    let wanted: Vec<ModelId> = facts.models.keys().cloned().collect();
+    let mut plan = WeightPlan::after_takeover(at(0), facts);
+    let empty = RunnerReport {
+        born: 1,
+        beat: 0,
+        accepted: Some(0),
+        draining: false,
+        busy: false,
+        held: Vec::new(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    };
+    let mut reports = vec![empty; EMPTY_RUNNERS];
+    let mut loading: Vec<Option<(u64, ModelId)>> = vec![None; EMPTY_RUNNERS];
+    let mut starts = Vec::new();
+    for now in (0..16_000).step_by(20) {
+        for index in 0..EMPTY_RUNNERS {
+            let report = &mut reports[index];
+            if let Some((_, done)) = loading[index].take_if(|(until, _)| *until <= now) {
+                report.busy = false;
+                report.held.push(HeldModel { model: done.clone(), adapters: Vec::new() });
+                report.on_disk.insert(done);
+            }
+            report.beat += 1;
+            plan.on_row(
+                at(now),
+                &runner_name(index),
+                RunnerReport { accepted: None, ..report.clone() },
+            );
+            plan.on_report(at(now), &runner_name(index), at(now), report);
+        }
+        let held = |name: &ModelId| {
+            reports.iter().any(|report| report.held.iter().any(|held| held.model == *name))
+        };
+        let waiting = wanted.iter().filter(|name| now >= 6_000 && !held(name)).map(|name| {
+            WaitingModel { model: name.clone(), adapter: None, count: 1, worth: 1_000 }
+        });
+        plan.on_demand(
+            at(now),
+            host(),
+            HostDemand { waiting: waiting.collect(), ..HostDemand::default() },
+        );
+        for order in plan.next_orders(at(now)) {
+            let index = (0..EMPTY_RUNNERS)
+                .find(|index| runner_name(*index) == order.runner)
+                .expect("a known runner");
+            if order.tier != Some(LoadTier::Store) {
+                continue;
+            }
+            starts.push(now);
+            loading[index] = Some((now + load_span, order.model.clone()));
+            reports[index].busy = true;
+            reports[index].accepted = reports[index].accepted.map(|count| count + 1);
+            plan.on_outcome(at(now), &order, OrderOutcome::Accepted);
+        }
+    }
+    starts
+}
+
+#[gtest]
+fn plan_begins_as_many_store_loads_in_a_window_as_the_store_allows() {
+    let starts = store_loads_of_empty_fleet(100);
+    let window = u64::try_from(STORE_WINDOW.as_millis()).expect("a short window");
+    let most = starts
+        .iter()
+        .map(|first| starts.iter().filter(|at| (*first..first + window).contains(at)).count())
+        .max();
+    // The users' bound: rate x window x 1.1 + 3.
+    expect_that!(most, some(all![ge(15), le(25)]));
+}
+
+#[gtest]
+fn plan_has_few_store_loads_under_way_at_once() {
+    let starts = store_loads_of_empty_fleet(4_000);
+    let most = starts
+        .iter()
+        .map(|first| starts.iter().filter(|at| (*first..first + 4_000).contains(at)).count())
+        .max();
+    expect_that!(most, some(all![ge(1), le(STORE_LOADS_AT_ONCE)]));
+}
