Read all rows at once after the store forgot its history

Cause: since looks are paced by age, a host that was told its history is lost paused for 1.2 s more before it read all rows. Change: a follower that has nothing to go on from reads at once, as before the looks were paced.

--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -60,6 +60,10 @@
     where
         D: Fn(Option<ClockInstant>) -> ClockInstant,
     {
+        if self.after.is_none() {
+            // Nothing was read yet, or the history was lost.
+            return;
+        }
         loop {
             let left = due(self.looked).since(host.now());
             if left.is_zero() {
