--- a/crates/decisions/src/weight_plan/mod.rs
+++ b/crates/decisions/src/weight_plan/mod.rs
@@ -11,6 +11,7 @@
 mod runner;
 mod terms;
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -61,6 +62,7 @@
     at: ClockInstant,
     last: ClockInstant,
 }
+
 /// The plan of one service.
 #[derive(Clone, Debug, Default)]
 pub struct WeightPlan {
@@ -72,6 +74,7 @@
     /// When the plan was last looked at.
     now: ClockInstant,
 }
+
 impl WeightPlan {
     /// Returns a plan that counts the loads of a predecessor as just started.
     pub fn after_takeover(now: ClockInstant, facts: PlanFacts) -> Self {
@@ -211,7 +214,7 @@
         }
         let mut orders = Vec::new();
         self.plan_adapters(now, &mut orders);
-        for (model, _worth) in self.wanted_models() {
+        for model in self.wanted_models() {
             self.plan_model(now, &model, true, &mut orders);
         }
         for model in self.wanted_replicas() {
@@ -238,20 +241,17 @@
     }
 
     /// Models that requests wait for and nobody holds, the most wanted first.
-    fn wanted_models(&self) -> Vec<(ModelId, u64)> {
+    fn wanted_models(&self) -> Vec<ModelId> {
         let mut wanted: BTreeMap<&ModelId, u64> = BTreeMap::new();
         for (_, demand) in self.demand.values() {
             for waiting in &demand.waiting {
                 *wanted.entry(&waiting.model).or_default() += u64::from(waiting.worth);
             }
         }
-        let mut wanted: Vec<(ModelId, u64)> = wanted
-            .into_iter()
-            .filter(|(model, _)| !self.is_ready_soon(model))
-            .map(|(model, worth)| (model.clone(), worth))
-            .collect();
-        wanted.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
-        wanted
+        wanted.retain(|model, _| !self.is_ready_soon(model));
+        let mut wanted: Vec<(&ModelId, u64)> = wanted.into_iter().collect();
+        wanted.sort_by_key(|(model, worth)| (Reverse(*worth), *model));
+        wanted.into_iter().map(|(model, _)| model.clone()).collect()
     }
 
     /// Models whose demand asks for more runners than hold them.
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -20,6 +20,9 @@
 /// When a caller should come back to a host that lost sight of the configuration.
 const STALE_RETRY: Duration = Duration::from_millis(400);
 
+/// Longest body of a request before a configuration names one, in bytes.
+const DEFAULT_BODY_BYTES: usize = 1 << 20;
+
 /// Longest wait told to a team that is over its rate.
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
 
@@ -55,8 +58,6 @@
     pub keyed: bool,
     /// What it costs the team.
     pub cost: TokenCount,
-    /// Longest body that a caller may send, in bytes.
-    pub body_bytes: usize,
 }
 
 /// Answers one request of a caller.
@@ -79,8 +80,11 @@
         body: Bytes::new(),
         arrived,
     };
-    let admitted = admit(&host, &host.state(), &call);
-    let limit = admitted.as_ref().map_or(usize::MAX, |admission| admission.body_bytes);
+    let (admitted, limit) = {
+        let state = host.state();
+        let limit = state.document.as_ref().map(|document| document.limits.body_bytes);
+        (admit(&host, &state, &call), limit.unwrap_or(DEFAULT_BODY_BYTES))
+    };
     let answered = match Limited::new(body, limit).collect().await {
         Err(_) => Err(GatewayRefusal::fixed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long")),
         Ok(body) => {
@@ -117,7 +121,6 @@
 fn charge(host: &Host, team: &TeamId, cost: TokenCount) -> Result<(), GatewayRefusal> {
     let mut state = host.state();
     let charged = state.levels.charge(host.now(), team, cost);
-    state.unreported = true;
     drop(state);
     host.spending_changed.notify_one();
     charged.map_err(|wait| GatewayRefusal::over_rate(wait.min(LONGEST_RETRY)))
@@ -142,13 +145,7 @@
         return Err(unless_stale(GatewayRefusal::fixed(StatusCode::NOT_FOUND, "no_route")));
     };
     let keyed = !document.teams.is_empty() && !route.open_to_all;
-    let mut admission = Admission {
-        route: route.clone(),
-        team: None,
-        keyed,
-        cost: TokenCount(0),
-        body_bytes: document.limits.body_bytes,
-    };
+    let mut admission = Admission { route: route.clone(), team: None, keyed, cost: TokenCount(0) };
     if keyed {
         if !fresh {
             return Err(stale());
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,7 +7,7 @@
 use dotterellane_units::{
     AdapterId, DomainId, FenceNumber, HostId, ModelId, ServiceId, TeamId, TokenCount, UpstreamId,
 };
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 
 use crate::document::RoutingDocument;
 use crate::settings::HostSettings;
@@ -35,7 +35,7 @@
     /// Tokens of the prompt and most tokens of the answer.
     pub tokens: Option<(TokenCount, TokenCount)>,
     /// Last event that the caller has of a broken stream.
-    pub last_event: Option<String>,
+    pub last_event: Option<HeaderValue>,
 }
 
 /// What the gateway tells an upstream besides the caller's own headers.
@@ -50,7 +50,7 @@
     /// Rank among other requests of the runner.
     pub priority: Option<u8>,
     /// Last event that the caller has, for a stream that goes on.
-    pub last_event: Option<&'a str>,
+    pub last_event: Option<&'a HeaderValue>,
 }
 
 /// What the head of an upstream's answer says.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,7 +1,6 @@
 //! The upstreams that the platform's directory names, and what is known of them.
 
 use std::collections::BTreeMap;
-use std::net::IpAddr;
 use std::time::Duration;
 
 use dotterellane_decisions::weight_plan::HeldModel;
@@ -186,17 +185,12 @@
         let listed = self.upstreams.iter().filter(|(_, known)| known.used_until.is_none());
         for (name, known) in listed {
             let entry = &known.entry;
-            for text in [name.as_str(), entry.service.as_str(), entry.domain.as_str()] {
-                hasher.update(text.as_bytes()).update(&[0]);
-            }
-            match entry.address.ip() {
-                IpAddr::V4(ip) => hasher.update(&ip.octets()),
-                IpAddr::V6(ip) => hasher.update(&ip.octets()),
-            };
-            hasher.update(&entry.address.port().to_le_bytes());
-            hasher.update(&entry.places.to_le_bytes());
-            hasher.update(&entry.report.born.to_le_bytes());
-            hasher.update(&[u8::from(entry.report.draining)]);
+            let (report, address) = (&entry.report, entry.address);
+            let text = format!(
+                "{name} {} {} {address} {} {} {}\n",
+                entry.service, entry.domain, entry.places, report.born, report.draining,
+            );
+            hasher.update(text.as_bytes());
         }
         let mut digest = [0; 8];
         digest.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,7 +8,7 @@
 use dotterellane_decisions::quarantine::RequestFingerprint;
 use dotterellane_decisions::runner_choice::{RunnerCandidate, choose_runner};
 use dotterellane_units::{ClockInstant, ServiceId, UpstreamId};
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::{sleep, timeout};
 
@@ -67,7 +67,7 @@
     /// Sends after which it may have run.
     pub runs: u32,
     /// Last event that the caller has.
-    pub last_event: Option<String>,
+    pub last_event: Option<HeaderValue>,
     /// What tells this request's repetitions from others.
     pub fingerprint: RequestFingerprint,
 }
@@ -370,7 +370,7 @@
         remaining,
         team: admission.team.as_ref().map(|(team, _)| team),
         priority: call.head.model.as_ref().map(|_| priority),
-        last_event: journey.last_event.as_deref(),
+        last_event: journey.last_event.as_ref(),
     };
     // Where nobody else could run it, its place in the queue is worth more than another try.
     let again = place.replaceable && journey.runs + 1 < admission.route.attempts;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,16 +1,29 @@
 //! Cutting a stream into whole events, so that another runner can go on with it.
 
 use bytes::{Bytes, BytesMut};
+use http::HeaderValue;
 use memchr::memmem;
 
 /// Longest event that is held back until it is whole, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Where another runner has to go on.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum ResumePoint {
+    /// At the beginning: the caller has no event.
+    #[default]
+    Beginning,
+    /// After the event with this id, as a header holds it.
+    After(HeaderValue),
+    /// Nowhere: the caller has events, but none names itself so that it can be told.
+    Nowhere,
+}
+
 /// The part of a stream that was passed on, and the beginning of the next event.
 #[derive(Clone, Debug, Default)]
 pub struct EventCutter {
     held: BytesMut,
-    last_id: Option<String>,
+    point: ResumePoint,
 }
 
 impl EventCutter {
@@ -25,8 +38,13 @@
             return Bytes::new();
         };
         let events = self.held.split_to(end).freeze();
-        if let Some(id) = last_event_id(&events) {
-            self.last_id = Some(id);
+        match last_event_id(&events) {
+            Some(id) => {
+                self.point =
+                    HeaderValue::from_bytes(id).map_or(ResumePoint::Nowhere, ResumePoint::After);
+            }
+            None if self.point == ResumePoint::Beginning => self.point = ResumePoint::Nowhere,
+            None => {}
         }
         events
     }
@@ -46,15 +64,21 @@
         self.held.len() > MAX_EVENT_BYTES
     }
 
-    /// Returns the id of the last event that was passed on.
+    /// Returns where another runner has to go on after what was passed on.
+    pub fn resume_point(&self) -> &ResumePoint {
+        &self.point
+    }
+
+    /// Returns the id of the last event that was passed on, for logs.
     pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
+        match &self.point {
+            ResumePoint::After(id) => id.to_str().ok(),
+            ResumePoint::Beginning | ResumePoint::Nowhere => None,
+        }
     }
 }
 
-fn last_event_id(events: &[u8]) -> Option<String> {
+fn last_event_id(events: &[u8]) -> Option<&[u8]> {
     let mut lines = events.rsplit(|byte| *byte == b'\n');
-    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    let text = std::str::from_utf8(id).ok()?;
-    Some(text.trim().to_owned())
+    lines.find_map(|line| line.strip_prefix(b"id:")).map(<[u8]>::trim_ascii)
 }
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -39,7 +39,7 @@
     after: Option<RowVersion>,
     failing: bool,
     /// Start of the last look, whatever came of it.
-    looked: Option<ClockInstant>,
+    looked: ClockInstant,
 }
 
 /// What one look showed.
@@ -52,40 +52,35 @@
 
 impl FeedFollower {
     fn new(name: &'static str, feed: RowFeed) -> Self {
-        Self { name, feed, after: None, failing: false, looked: None }
+        Self { name, feed, after: None, failing: false, looked: ClockInstant::default() }
     }
 
     /// Waits until `due` is over, or until `wanted` is told. What `due` returns may grow meanwhile.
     async fn pause<D>(&self, host: &Host, wanted: &Notify, due: D)
     where
-        D: Fn(Option<ClockInstant>) -> ClockInstant,
+        D: Fn(ClockInstant) -> ClockInstant,
     {
+        // Nothing was read yet, or the history was lost.
         if self.after.is_none() {
-            // Nothing was read yet, or the history was lost.
             return;
         }
         loop {
             let left = due(self.looked).since(host.now());
-            if left.is_zero() {
+            if left.is_zero() || timeout(left, wanted.notified()).await.is_ok() {
                 break;
             }
-            if timeout(left, wanted.notified()).await.is_ok() {
-                break;
-            }
-        }
-        if let Some(looked) = self.looked {
-            sleep((looked + LEAST_LOOK_PAUSE).since(host.now())).await;
         }
+        sleep((self.looked + LEAST_LOOK_PAUSE).since(host.now())).await;
     }
 
     /// Looks once; `None` after a failure.
     async fn look(&mut self, host: &Host) -> Option<FeedLook> {
         let started = host.now();
-        self.looked = Some(started);
+        self.looked = started;
         let whole = self.after.is_none();
         let looked = match self.after {
             None => self.feed.snapshot().await.map_err(FeedError::Table),
-            Some(after) => self.feed.changes(after, Duration::ZERO).await,
+            Some(after) => self.feed.changes(after).await,
         };
         let label = match &looked {
             Ok(_) => "ok",
@@ -165,8 +160,7 @@
 }
 
 /// Returns when the configuration has to be looked at next.
-fn configuration_due(host: &Host, looked: Option<ClockInstant>) -> ClockInstant {
-    let Some(looked) = looked else { return ClockInstant::default() };
+fn configuration_due(host: &Host, looked: ClockInstant) -> ClockInstant {
     if keeper::is_keeping(host) {
         return looked + KEEPER_PAUSE;
     }
@@ -231,8 +225,7 @@
 }
 
 /// Returns when the directory has to be looked at next.
-fn directory_due(host: &Host, looked: Option<ClockInstant>) -> ClockInstant {
-    let Some(looked) = looked else { return ClockInstant::default() };
+fn directory_due(host: &Host, looked: ClockInstant) -> ClockInstant {
     if keeper::is_loading(host) {
         return looked + LOADING_PAUSE;
     }
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -49,6 +49,9 @@
 /// Pause between two looks at the plan while loads are under way or requests wait.
 const BUSY_PLAN_PAUSE: Duration = Duration::from_millis(60);
 
+/// Step of timers, which may fire that much early.
+const TIMER_STEP: Duration = Duration::from_millis(1);
+
 /// Time within which a runner answers an order or a question.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -414,7 +417,7 @@
                         pause = BUSY_PLAN_PAUSE;
                     }
                     if let Some(ready) = plan.next_ready(now) {
-                        pause = pause.min(ready.since(now) + Duration::from_millis(1));
+                        pause = pause.min(ready.since(now) + TIMER_STEP);
                     }
                 }
             }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dotterellane_decisions::team_levels::{PEER_MEMORY, PEER_SILENCE};
-use dotterellane_platform::{RowWrite, TableTransaction};
+use dotterellane_platform::{RowWrite, TableRow, TableTransaction};
 use dotterellane_units::{HostId, HostIncarnation};
 use tokio::time::{sleep, timeout};
 
@@ -120,7 +120,6 @@
     state.peers.retain(|_, peer| {
         now.since(peer.heard) < if peer.leaving { PEER_SILENCE } else { PEER_MEMORY }
     });
-    state.unreported = false;
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
     let beat = HostBeat {
         leaving: host.leaving.is_cancelled(),
@@ -291,9 +290,7 @@
         }
         match host.platform.table.scan(HOST_ROWS).await {
             Ok(rows) => {
-                let addresses = rows.iter().filter_map(|row| {
-                    std::str::from_utf8(&row.value).ok()?.parse::<SocketAddr>().ok()
-                });
+                let addresses = rows.iter().filter_map(read_host_row);
                 let addresses: Vec<SocketAddr> =
                     addresses.filter(|known| *known != host.settings.peers).collect();
                 send_to(&host, &PeerNote::Beat(HostBeat::default()), &addresses);
@@ -307,6 +304,15 @@
     }
 }
 
+/// Reads where the host of a row receives; `None`, with a line that says so, if that is no address.
+fn read_host_row(row: &TableRow) -> Option<SocketAddr> {
+    let address = std::str::from_utf8(&row.value).ok().and_then(|text| text.parse().ok());
+    if address.is_none() {
+        spdlog::warn!("row of a host names no address", kv: { row = row.key.as_str() });
+    }
+    address
+}
+
 fn log_failure(step: &str, cause: &str) {
     spdlog::warn!("store did not answer", kv: { step = step, cause = cause });
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,7 +16,7 @@
 use crate::crashes::report_break;
 use crate::dispatch::{FoundPlace, Journey, SendEnd, find_place, send};
 use crate::document::CallKind;
-use crate::events::EventCutter;
+use crate::events::{EventCutter, ResumePoint};
 use crate::state::Host;
 
 /// Pieces that may wait for a caller that reads slowly.
@@ -165,8 +165,13 @@
     /// Finds another runner that goes on after the last event that the caller has.
     async fn go_on(&mut self) -> Option<(FoundPlace, Response<Incoming>)> {
         self.cutter.discard();
-        if let Some(id) = self.cutter.last_id() {
-            self.journey.last_event = Some(id.to_owned());
+        match self.cutter.resume_point() {
+            ResumePoint::Beginning => {}
+            ResumePoint::After(id) => self.journey.last_event = Some(id.clone()),
+            ResumePoint::Nowhere => {
+                self.log("", "no event of the stream has an id to go on from");
+                return None;
+            }
         }
         let caller = self.pieces.clone();
         tokio::select! {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -102,8 +102,6 @@
     pub levels: TeamLevels,
     /// When the daemon was asked to stop.
     pub left: Option<ClockInstant>,
-    /// Whether what was spent is not yet reported.
-    pub unreported: bool,
     /// Further sends, by service.
     pub resends: BTreeMap<ServiceId, ResendBudget>,
     /// Requests that run, by upstream and model.
@@ -185,7 +183,6 @@
             directory: Directory::default(),
             levels: TeamLevels::new(clock.now(), settings.first_start),
             left: None,
-            unreported: false,
             resends: BTreeMap::new(),
             running: BTreeMap::new(),
             waiting: Slab::new(),
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -6,9 +6,10 @@
 use dotterellane_decisions::weight_plan::{HeldModel, RunnerReport};
 use dotterellane_gateway::call::{DirectoryEntry, ModelChoice};
 use dotterellane_gateway::directory::{Directory, LAPSE_GRACE, REFUSED_PAUSE};
-use dotterellane_gateway::events::EventCutter;
+use dotterellane_gateway::events::{EventCutter, ResumePoint};
 use dotterellane_units::{ClockInstant, ServiceId, UpstreamId};
 use googletest::prelude::*;
+use http::HeaderValue;
 
 fn at(millis: u64) -> ClockInstant {
     ClockInstant::from_millis(1_000_000 + millis)
@@ -154,3 +155,18 @@
         expect_that!(cutter.push(b"id: 3\n\n").as_ref(), eq(b"id: 3\n\n"));
     }
 }
+
+#[gtest]
+fn events_without_a_usable_id_leave_nowhere_to_go_on() {
+    let mut cutter = EventCutter::default();
+    expect_that!(cutter.resume_point(), eq(&ResumePoint::Beginning));
+    cutter.push(b"data: a\n\n");
+    expect_that!(cutter.resume_point(), eq(&ResumePoint::Nowhere));
+    cutter.push(b"id: 2\ndata: b\n\n");
+    let after = ResumePoint::After(HeaderValue::from_static("2"));
+    expect_that!(cutter.resume_point(), eq(&after));
+    cutter.push(b"data: c\n\n");
+    expect_that!(cutter.resume_point(), eq(&after));
+    cutter.push(b"id: \x01\ndata: d\n\n");
+    expect_that!(cutter.resume_point(), eq(&ResumePoint::Nowhere));
+}
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 use std::future::Future;
 use std::sync::Arc;
-use std::time::Duration;
 
 use dotterellane_units::{RowVersion, StoreInstant};
 use futures::future::BoxFuture;
@@ -50,7 +49,7 @@
 
 type SnapshotCall = dyn Fn() -> BoxFuture<'static, Result<FeedBatch, TableError>> + Send + Sync;
 type ChangesCall =
-    dyn Fn(RowVersion, Duration) -> BoxFuture<'static, Result<FeedBatch, FeedError>> + Send + Sync;
+    dyn Fn(RowVersion) -> BoxFuture<'static, Result<FeedBatch, FeedError>> + Send + Sync;
 
 /// One table as a follower sees it.
 #[derive(Clone)]
@@ -65,12 +64,12 @@
     where
         S: Fn() -> SF + Send + Sync + 'static,
         SF: Future<Output = Result<FeedBatch, TableError>> + Send + 'static,
-        C: Fn(RowVersion, Duration) -> CF + Send + Sync + 'static,
+        C: Fn(RowVersion) -> CF + Send + Sync + 'static,
         CF: Future<Output = Result<FeedBatch, FeedError>> + Send + 'static,
     {
         Self {
             snapshot: Arc::new(move || Box::pin(snapshot())),
-            changes: Arc::new(move |after, wait| Box::pin(changes(after, wait))),
+            changes: Arc::new(move |after| Box::pin(changes(after))),
         }
     }
 
@@ -82,12 +81,12 @@
         (self.snapshot)().await
     }
 
-    /// Returns what changed after a version; waits up to `wait` if nothing has.
+    /// Returns what changed after a version, possibly nothing.
     ///
     /// # Errors
     /// Fails if the table does not answer or its history does not reach back that far.
-    pub async fn changes(&self, after: RowVersion, wait: Duration) -> Result<FeedBatch, FeedError> {
-        (self.changes)(after, wait).await
+    pub async fn changes(&self, after: RowVersion) -> Result<FeedBatch, FeedError> {
+        (self.changes)(after).await
     }
 }
 
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -9,14 +9,16 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::{HostList, ObjectError, ObjectStore, PlatformTable, TableError};
+use crate::{
+    CallFailure, HostList, ObjectError, ObjectStore, PlatformTable, TableError, call_service,
+};
 
 /// Longest wait for an answer of the platform.
 pub const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
@@ -45,14 +47,6 @@
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
-/// How a call to the platform failed.
-enum CallFailure {
-    /// Nothing took effect.
-    NotDone(String),
-    /// It may have taken effect.
-    Unknown(String),
-}
-
 impl PlatformClient {
     fn new(address: SocketAddr) -> Self {
         let client = Client::builder(TokioExecutor::new())
@@ -73,29 +67,7 @@
             .uri(format!("http://{}{path}", self.address))
             .body(Full::new(body))
             .map_err(|error| CallFailure::NotDone(error.to_string()))?;
-        let exchange = async {
-            let answer = self.client.request(request).await.map_err(|error| {
-                let text = error.to_string();
-                if error.is_connect() {
-                    CallFailure::NotDone(text)
-                } else {
-                    CallFailure::Unknown(text)
-                }
-            })?;
-            let status = answer.status();
-            let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|error| CallFailure::Unknown(error.to_string()))?;
-            Ok((status, body.to_bytes()))
-        };
-        let timed_out = || CallFailure::Unknown(format!("no answer in {PLATFORM_TIMEOUT:?}"));
-        let (status, body) = tokio::time::timeout(PLATFORM_TIMEOUT, exchange)
-            .await
-            .map_err(|_elapsed| timed_out())??;
-        match status {
-            StatusCode::SERVICE_UNAVAILABLE => Err(CallFailure::NotDone(status.to_string())),
-            status if status.is_server_error() => Err(CallFailure::Unknown(status.to_string())),
-            status => Ok((status, body)),
-        }
+        call_service(&self.client, request, PLATFORM_TIMEOUT, MAX_ANSWER_BYTES).await
     }
 
     async fn call_table<Q, A>(
@@ -110,24 +82,15 @@
         A: DeserializeOwned,
     {
         let body = request.map(serde_json::to_vec).transpose();
-        let body = body.map_err(|error| self.not_done(step, error.to_string()))?;
+        let error = |failure: CallFailure| failure.into_error(step, self.address);
+        let body = body.map_err(|cause| error(CallFailure::NotDone(cause.to_string())))?;
         let called = self.call(method, path, body.unwrap_or_default().into()).await;
-        let (status, body) = called.map_err(|failure| match failure {
-            CallFailure::NotDone(cause) => self.not_done(step, cause),
-            CallFailure::Unknown(cause) => self.unknown(step, cause),
-        })?;
+        let (status, body) = called.map_err(error)?;
         if status != StatusCode::OK {
-            return Err(self.not_done(step, status.to_string()));
+            return Err(error(CallFailure::NotDone(status.to_string())));
         }
-        serde_json::from_slice(&body).map_err(|error| self.unknown(step, error.to_string()))
-    }
-
-    fn not_done(&self, step: &'static str, cause: String) -> TableError {
-        TableError::Unavailable { step, peer: self.address.to_string(), cause }
-    }
-
-    fn unknown(&self, step: &'static str, cause: String) -> TableError {
-        TableError::AnswerLost { step, peer: self.address.to_string(), cause }
+        serde_json::from_slice(&body)
+            .map_err(|cause| error(CallFailure::Unknown(cause.to_string())))
     }
 
     async fn call_objects(
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -51,6 +51,8 @@
     pub body: Bytes,
     /// Whether it ran.
     pub ran: bool,
+    /// Whether the runner does not hold what it names.
+    pub absent: bool,
     /// When it came.
     pub at: Instant,
 }
@@ -94,6 +96,7 @@
     load_span: Duration,
     chance: Option<FaultChance>,
     wrongs: Vec<String>,
+    omits_ids: bool,
     /// Path at which a request crashes the runner, and what ends its server.
     deadly: Option<(String, CancellationToken)>,
     fence: Option<(u64, String)>,
@@ -183,6 +186,11 @@
         lock(&self.state).chance = (part > 0.0).then_some(FaultChance { random, part });
     }
 
+    /// Lets its events come without ids.
+    pub fn omit_ids(&self) {
+        lock(&self.state).omits_ids = true;
+    }
+
     /// Lets requests for `target` crash it: it stops listening, and all its connections break.
     pub fn crash_on(&self, target: &str) {
         lock(&self.state).deadly = Some((target.to_owned(), self.server.stop.clone()));
@@ -303,7 +311,7 @@
     }
     let id = text("x-request-id");
     let choice = text("x-model");
-    let (fault, events, ran) = {
+    let (fault, events, ran, named) = {
         let mut state = lock(&state);
         let events = state.events;
         let drawn = state.chance.as_mut().and_then(|chance| chance.draw(events));
@@ -316,12 +324,13 @@
             headers: parts.headers.clone(),
             body,
             ran,
+            absent,
             at: Instant::now(),
         });
         if absent {
             return plain(StatusCode::MISDIRECTED_REQUEST);
         }
-        (fault, state.events, ran)
+        (fault, state.events, ran, !state.omits_ids)
     };
     let deadly = lock(&state).deadly.clone().filter(|(target, _)| *target == parts.uri.to_string());
     if let Some((_, stop)) = deadly {
@@ -348,7 +357,7 @@
                 Some(EngineFault::BreaksAt(number)) => Some(number),
                 _ => None,
             };
-            stream_answer(after, events, breaks)
+            stream_answer(after, events, breaks, named)
         }
     };
     let echoed = if fault == Some(EngineFault::Foreign) { "another" } else { id.as_str() };
@@ -409,16 +418,23 @@
     }
 }
 
-fn event(number: u64) -> Bytes {
-    Bytes::from(format!("id: {number}\ndata: piece {number}\n\n"))
+fn event(number: u64, named: bool) -> Bytes {
+    let id = if named { format!("id: {number}\n") } else { String::new() };
+    Bytes::from(format!("{id}data: piece {number}\n\n"))
 }
 
-fn stream_answer(after: u64, events: u64, breaks: Option<u64>) -> Response<AnswerBody> {
+fn stream_answer(
+    after: u64,
+    events: u64,
+    breaks: Option<u64>,
+    named: bool,
+) -> Response<AnswerBody> {
     let last = breaks.map_or(events, |at| at.min(events));
     let whole = (after + 1..=last).filter(|number| breaks != Some(*number));
-    let mut pieces: Vec<std::io::Result<Bytes>> = whole.map(|number| Ok(event(number))).collect();
+    let mut pieces: Vec<std::io::Result<Bytes>> =
+        whole.map(|number| Ok(event(number, named))).collect();
     if let Some(at) = breaks.filter(|at| *at > after) {
-        pieces.push(Ok(event(at).slice(..8)));
+        pieces.push(Ok(event(at, named).slice(..8)));
         pieces.push(Err(std::io::Error::other("broken off")));
     }
     // The pause lets a part of an event out before the break.
