Let a refusal reach a caller that is still sending

A request refused before it was read whole (413, 431) was answered, and its connection closed with data unread. Two ways to lose the answer: - a caller that still sends meets a broken pipe or a reset before it reads (shown by a caller that sends in two parts: broken pipe in both cases, each run); - the answer did not say that the connection closes, so that a caller with a pool sent its next request on it and lost that one. Ruled out: load alone (the failure needs a reused connection; callers without a pool never met the second case), the port of the site. A body that stops coming is refused with 408 after the idle time, which was not bounded; a body that was cut off is no longer counted as too long.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 
 use dotterellane_upstream::connect::bound_silence;
+use dotterellane_upstream::lingering::LingeringStream;
+use http::header::CONNECTION;
+use http::{HeaderValue, StatusCode, Version};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
@@ -97,7 +100,7 @@
     if bound_silence(&stream).is_err() {
         return;
     }
-    let stream = StallGuard::new(stream, context.limits.write_stall);
+    let stream = LingeringStream::new(StallGuard::new(stream, context.limits.write_stall));
     match context.tls.as_ref().map(TlsIdentity::acceptor) {
         None => serve_connection(stream, context, closing).await,
         Some(acceptor) => {
@@ -118,8 +121,15 @@
     let service = service_fn(move |request| {
         let context = context.clone();
         // The connection keeps this future for its life; what it needs until the answer does not stay.
+        let version = request.version();
         let answering = Box::pin(answer_request(context, request));
-        async move { Ok::<_, Infallible>(answering.await) }
+        async move {
+            let mut response = answering.await;
+            if version < Version::HTTP_2 && leaves_body(response.status()) {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
@@ -131,6 +141,11 @@
     let _ = connection.await;
 }
 
+/// Tells whether part of the request may be unread, so that the connection cannot be used again.
+fn leaves_body(status: StatusCode) -> bool {
+    matches!(status, StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT)
+}
+
 fn connection_builder(context: &EntryContext) -> Builder<TokioExecutor> {
     let header_bytes = usize::try_from(context.limits.headers.0).unwrap_or(usize::MAX);
     let mut builder = Builder::new(TokioExecutor::new());
--- a/crates/entry/tests/bounds.rs
+++ b/crates/entry/tests/bounds.rs
@@ -135,6 +135,8 @@
     let refused = entry.send(chat_request(false, 2, &"x".repeat(2_000))).await;
     expect_that!(refused.status, eq(StatusCode::PAYLOAD_TOO_LARGE));
     expect_that!(refused.says_not_run(), eq(true));
+    let close = refused.headers.get("connection").map(|value| value.as_bytes());
+    expect_that!(close, some(eq(b"close")));
 }
 
 async fn send_slowly(entry: &EntryEnvironment, message: &str) -> String {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -7,22 +7,20 @@
 use dotterellane_units::{ClockInstant, TeamId, TokenCount};
 use http::header::{CONNECTION, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tokio::time::timeout;
 
 use crate::body::GatewayBody;
 use crate::call::{CallHead, ModelChoice};
 use crate::dispatch::{ChoiceTrace, dispatch};
-use crate::document::HostRoute;
+use crate::document::{CallerLimits, HostRoute};
 use crate::refusal::GatewayRefusal;
 use crate::state::{Host, HostState};
 
 /// When a caller should come back to a host that lost sight of the configuration.
 const STALE_RETRY: Duration = Duration::from_millis(400);
 
-/// Longest body of a request before a configuration names one, in bytes.
-const DEFAULT_BODY_BYTES: usize = 1 << 20;
-
 /// Longest wait told to a team that is over its rate.
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
 
@@ -80,24 +78,43 @@
         body: Bytes::new(),
         arrived,
     };
-    let (admitted, limit) = {
+    let (admitted, limits) = {
         let state = host.state();
-        let limit = state.document.as_ref().map(|document| document.limits.body_bytes);
-        (admit(&host, &state, &call), limit.unwrap_or(DEFAULT_BODY_BYTES))
+        (admit(&host, &state, &call), state.caller_limits())
     };
-    let answered = match Limited::new(body, limit).collect().await {
-        Err(_) => Err(GatewayRefusal::fixed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long")),
+    match read_body(body, limits).await {
+        Err(refusal) => {
+            let mut response = finish(&host, &call, Err(refusal));
+            close_after(&mut response);
+            response
+        }
         Ok(body) => {
-            call.body = body.to_bytes();
+            call.body = body;
             let call = Arc::new(call);
             let answered = match admitted {
                 Err(refusal) => Err(refusal),
                 Ok(admission) => serve(&host, &call, admission).await,
             };
-            return finish(&host, &call, answered);
+            finish(&host, &call, answered)
         }
-    };
-    finish(&host, &call, answered)
+    }
+}
+
+async fn read_body(body: Incoming, limits: CallerLimits) -> Result<Bytes, GatewayRefusal> {
+    let reading = Limited::new(body, limits.body_bytes).collect();
+    match timeout(limits.idle_timeout, reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(GatewayRefusal::fixed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long"))
+        }
+        Ok(Err(_)) => Err(GatewayRefusal::fixed(StatusCode::BAD_REQUEST, "body_cut_off")),
+        Err(_) => Err(GatewayRefusal::fixed(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
+    }
+}
+
+/// Tells the caller to send nothing more on this connection.
+fn close_after(response: &mut Response<GatewayBody>) {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
 async fn serve(
@@ -185,7 +202,7 @@
     host.metrics.answers.with_label_values(&[response.status().as_str(), reason]).inc();
     host.metrics.first_byte.observe(took.as_secs_f64());
     if host.leaving.is_cancelled() {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        close_after(&mut response);
     }
     response
 }
--- a/crates/gateway/src/document.rs
+++ b/crates/gateway/src/document.rs
@@ -67,6 +67,15 @@
 /// Allowed pauses after which callers give a silent stream up.
 const PATIENCE_GAPS: u32 = 8;
 
+/// Longest head of a request before a configuration names one, in bytes.
+const DEFAULT_HEAD_BYTES: usize = 32 * 1024;
+
+/// Longest body of a request before a configuration names one, in bytes.
+const DEFAULT_BODY_BYTES: usize = 1 << 20;
+
+/// Time that a caller's connection may be idle before a configuration names one.
+pub const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
 impl HostRoute {
     /// Returns how long callers wait for the first or next event of a stream, or for an answer.
     pub fn patience(&self) -> Duration {
@@ -107,10 +116,21 @@
     pub header_bytes: usize,
     /// Longest body, in bytes.
     pub body_bytes: usize,
-    /// Time that a connection may be idle.
+    /// Time that a connection may be idle and that a body may take.
     pub idle_timeout: Duration,
 }
 
+impl Default for CallerLimits {
+    /// Returns the bounds that hold before a configuration names any.
+    fn default() -> Self {
+        Self {
+            header_bytes: DEFAULT_HEAD_BYTES,
+            body_bytes: DEFAULT_BODY_BYTES,
+            idle_timeout: DEFAULT_IDLE,
+        }
+    }
+}
+
 /// One version of the configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RoutingDocument {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use dotterellane_upstream::connect::bound_silence;
+use dotterellane_upstream::lingering::LingeringStream;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,20 +18,15 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::answer::answer;
+use crate::document::DEFAULT_IDLE;
 use crate::state::Host;
 
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Longest head of a request before a configuration names one, in bytes.
-const DEFAULT_HEAD_BYTES: usize = 32 * 1024;
-
 /// Smallest read buffer that the HTTP library allows, in bytes.
 const LEAST_HEAD_BYTES: usize = 8 * 1024;
 
-/// Time that a caller's connection may be idle before a configuration names one.
-const DEFAULT_IDLE: Duration = Duration::from_secs(15);
-
 /// Serves callers until connections are to be closed.
 pub async fn serve_callers(listener: TcpListener, host: Arc<Host>) {
     loop {
@@ -58,9 +54,7 @@
         });
         return;
     }
-    let limits = host.state().document.as_ref().map(|document| document.limits);
-    let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle_timeout);
-    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.header_bytes);
+    let limits = host.state().caller_limits();
     let service = service_fn(|request: Request<Incoming>| {
         // The connection keeps this future for its life; what it needs until the answer must not stay.
         let answering = Box::pin(answer(host.clone(), request));
@@ -69,9 +63,9 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The library counts idle time as part of the next head, so that this bounds both.
-        .header_read_timeout(idle)
-        .max_buf_size(head_bytes.max(LEAST_HEAD_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.header_bytes.max(LEAST_HEAD_BYTES))
+        .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     let mut connection = pin!(connection);
     // A connection that breaks is its caller's matter; holds are released by their drop.
     tokio::select! {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,7 +21,7 @@
 
 use crate::call::{ModelChoice, WireFormat};
 use crate::directory::Directory;
-use crate::document::RoutingDocument;
+use crate::document::{CallerLimits, RoutingDocument};
 use crate::keeper::SharedDesk;
 use crate::messages::{KeeperMark, StoreSighting};
 use crate::metrics::GatewayMetrics;
@@ -240,6 +240,11 @@
         self.document.is_some() && self.evidence.is_some_and(in_time)
     }
 
+    /// Returns the bounds on what callers send.
+    pub fn caller_limits(&self) -> CallerLimits {
+        self.document.as_ref().map(|document| document.limits).unwrap_or_default()
+    }
+
     /// Sets the teams' limits from the configuration and the tuning.
     pub fn set_limits(&mut self, now: ClockInstant) {
         let Some(document) = &self.document else { return };
