Tell a host that starts again which requests are quarantined

Cause: what crashes upstreams was kept in each host's memory alone and told once, when it happened. With restarts in turn, each host that started again let the same request crash upstreams anew; more than three of its sends after the third crash break the users' bound. Change: a host that hears a stranger tells it each crash from which a request is quarantined, with its age, so that it is forgotten at the same time everywhere. The verdicts of the one told are those of the one that tells (200 random histories).

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use dotterellane_units::{ClockInstant, UpstreamId};
+use serde::{Deserialize, Serialize};
 
 pub use dotterellane_protocol::quarantine::{
     CrashReport, MAX_REPORT_FINGERPRINTS, RequestFingerprint,
@@ -32,6 +33,18 @@
     suspects: BTreeSet<RequestFingerprint>,
 }
 
+/// A crash that took part in quarantining a request, as one host tells another that was not there.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct RememberedCrash {
+    /// Upstream that crashed.
+    pub runner: UpstreamId,
+    /// How long ago.
+    pub age: Duration,
+    /// Requests that were running there and at another crash too.
+    pub suspects: Vec<RequestFingerprint>,
+}
+
 /// Crashes that this host knows of, and what it runs where.
 #[derive(Clone, Debug, Default)]
 pub struct CrashMachine {
@@ -93,6 +106,7 @@
         if let Some(flights) = self.flights.get(runner) {
             running.extend(flights.keys());
         }
+        self.forget(now);
         let fresh = self.add_suspects(now, runner, running);
         let parts = fresh.chunks(MAX_REPORT_FINGERPRINTS);
         parts
@@ -104,12 +118,36 @@
     pub fn absorb(&mut self, now: ClockInstant, report: &CrashReport) {
         match report {
             CrashReport::Crashed { runner, suspects } => {
+                self.forget(now);
                 self.add_suspects(now, runner, suspects.iter().copied().collect());
             }
             CrashReport::Cleared { fingerprint } => self.clear(*fingerprint),
         }
     }
 
+    /// Returns the crashes from which another host finds the same requests quarantined.
+    pub fn remembered(&mut self, now: ClockInstant) -> Vec<RememberedCrash> {
+        self.forget(now);
+        let repeated = |fingerprint: &&RequestFingerprint| {
+            self.crash_count(**fingerprint) >= CRASHES_TO_QUARANTINE
+        };
+        let crashes = self.crashes.iter().map(|crash| RememberedCrash {
+            runner: crash.runner.clone(),
+            age: now.since(crash.at),
+            suspects: crash.suspects.iter().filter(repeated).copied().collect(),
+        });
+        crashes.filter(|crash| !crash.suspects.is_empty()).collect()
+    }
+
+    /// Takes in a crash of before this host was there.
+    pub fn remind(&mut self, now: ClockInstant, crash: &RememberedCrash) {
+        self.forget(now);
+        if crash.age < CRASH_MEMORY {
+            let suspects = crash.suspects.iter().copied().collect();
+            self.add_suspects(now - crash.age, &crash.runner, suspects);
+        }
+    }
+
     /// Tells whether a request is to be refused.
     pub fn is_quarantined(&mut self, now: ClockInstant, fingerprint: RequestFingerprint) -> bool {
         self.forget(now);
@@ -147,18 +185,18 @@
         runs || beside.is_some_and(|flights| flights.keys().any(|other| self.is_suspect(*other)))
     }
 
-    /// Adds suspects to the crash of `runner`; returns those that were not known.
+    /// Adds suspects to the crash of `runner` around `at`; returns those that were not known.
     fn add_suspects(
         &mut self,
-        now: ClockInstant,
+        at: ClockInstant,
         runner: &UpstreamId,
         suspects: BTreeSet<RequestFingerprint>,
     ) -> Vec<RequestFingerprint> {
-        self.forget(now);
-        let recent = |crash: &&mut CrashRecord| {
-            crash.runner == *runner && now.since(crash.at) < CRASH_WINDOW
+        let same = |crash: &&mut CrashRecord| {
+            let apart = at.since(crash.at).max(crash.at.since(at));
+            crash.runner == *runner && apart < CRASH_WINDOW
         };
-        if let Some(crash) = self.crashes.iter_mut().rev().find(recent) {
+        if let Some(crash) = self.crashes.iter_mut().rev().find(same) {
             let fresh: Vec<_> = suspects.difference(&crash.suspects).copied().collect();
             crash.suspects.extend(fresh.iter().copied());
             return fresh;
@@ -167,7 +205,8 @@
             self.crashes.remove(0);
         }
         let fresh = suspects.iter().copied().collect();
-        self.crashes.push(CrashRecord { runner: runner.clone(), at: now, suspects });
+        let place = self.crashes.partition_point(|crash| crash.at <= at);
+        self.crashes.insert(place, CrashRecord { runner: runner.clone(), at, suspects });
         fresh
     }
 
--- a/crates/decisions/tests/quarantine.rs
+++ b/crates/decisions/tests/quarantine.rs
@@ -8,6 +8,8 @@
 };
 use dotterellane_units::{ClockInstant, UpstreamId};
 use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 const CRASHER: RequestFingerprint = RequestFingerprint(666);
 const INNOCENT: RequestFingerprint = RequestFingerprint(1);
@@ -127,3 +129,51 @@
         expect_that!(suspects.len() * 19 + 100, le(dotterellane_protocol::MAX_MESSAGE_BYTES));
     }
 }
+
+#[gtest]
+fn remembered_crashes_give_the_same_verdicts() {
+    let random = &mut Pcg64Mcg::seed_from_u64(11);
+    for _ in 0..200 {
+        let mut machine = CrashMachine::default();
+        for number in 0..random.random_range(0..7_u64) {
+            let running: Vec<_> = (0..random.random_range(1..4))
+                .map(|_| RequestFingerprint(random.random_range(0..6)))
+                .collect();
+            let name = format!("r{}", random.random_range(0..4));
+            crash(&mut machine, at(10_000 + number * 3_000), &name, &running);
+        }
+        let now = at(60_000);
+        let mut reminded = CrashMachine::default();
+        let told = machine.remembered(now);
+        // Two hosts tell of the same, one a little later.
+        for lag in [0, 40] {
+            told.iter().for_each(|crash| reminded.remind(now + Duration::from_millis(lag), crash));
+        }
+        let later = now + Duration::from_secs(1);
+        for number in 0..6 {
+            let fingerprint = RequestFingerprint(number);
+            let expected = machine.is_quarantined(later, fingerprint);
+            expect_that!(reminded.is_quarantined(later, fingerprint), eq(expected), "{told:?}");
+        }
+    }
+}
+
+#[gtest]
+fn remembered_crash_keeps_its_age() {
+    let mut machine = CrashMachine::default();
+    crash(&mut machine, at(10_000), "a", &[CRASHER, INNOCENT]);
+    expect_that!(machine.remembered(at(10_001)), is_empty());
+    crash(&mut machine, at(20_000), "b", &[CRASHER]);
+    let told = machine.remembered(at(50_000));
+    let ages: Vec<Duration> = told.iter().map(|crash| crash.age).collect();
+    expect_that!(ages, eq(&[Duration::from_secs(40), Duration::from_secs(30)]));
+    expect_that!(told[0].suspects, eq(&[CRASHER]));
+    // The clock of the other host shows another time.
+    let mut reminded = CrashMachine::default();
+    let now = at(90_000) + CRASH_MEMORY;
+    told.iter().for_each(|crash| reminded.remind(now, crash));
+    expect_that!(reminded.is_quarantined(now, CRASHER), eq(true));
+    let end = now + CRASH_MEMORY - Duration::from_secs(40);
+    expect_that!(reminded.is_quarantined(end - Duration::from_secs(1), CRASHER), eq(true));
+    expect_that!(reminded.is_quarantined(end + Duration::from_secs(1), CRASHER), eq(false));
+}
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterellane_decisions::quarantine::{CrashReport, RequestFingerprint};
-use dotterellane_units::{TeamId, UpstreamId};
+use dotterellane_decisions::quarantine::{CrashReport, RememberedCrash, RequestFingerprint};
+use dotterellane_units::{HostId, TeamId, UpstreamId};
 use dotterellane_upstream::connect::connect_tcp;
 use tokio::time::{sleep, timeout};
 
 use crate::answer::GatewayCall;
 use crate::messages::PeerNote;
-use crate::peers::send_to_all;
+use crate::peers::{send_to_all, send_to_host};
 use crate::state::Host;
 
 /// Pause before an upstream that broke a request off is asked whether it still accepts connections.
@@ -92,3 +92,16 @@
 pub fn absorb(host: &Host, report: &CrashReport) {
     host.state().crashes.absorb(host.now(), report);
 }
+
+/// Tells a host that was not heard before which requests are quarantined.
+pub fn introduce(host: &Host, stranger: &HostId) {
+    let crashes = host.state().crashes.remembered(host.now());
+    for crash in crashes {
+        send_to_host(host, stranger, &PeerNote::PastCrash(crash));
+    }
+}
+
+/// Takes in a crash of before this host was there.
+pub fn absorb_past(host: &Host, crash: &RememberedCrash) {
+    host.state().crashes.remind(host.now(), crash);
+}
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use dotterellane_decisions::quarantine::CrashReport;
+use dotterellane_decisions::quarantine::{CrashReport, RememberedCrash};
 use dotterellane_decisions::team_levels::SpendingReport;
 use dotterellane_decisions::weight_plan::{HeldModel, HostDemand};
 use dotterellane_units::{
@@ -37,6 +37,8 @@
     Holdings(FenceNumber, Vec<RunnerHoldings>),
     /// A request crashed an upstream.
     Crash(CrashReport),
+    /// Sent to a host that was not heard before: a crash from which a request is quarantined.
+    PastCrash(RememberedCrash),
 }
 
 /// Signs of life and what the host spent.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -195,6 +195,7 @@
             address = source.to_string().as_str(),
         });
         send_beat(host, true);
+        crashes::introduce(host, &from);
     }
     match note {
         PeerNote::Beat(beat) => accept_beat(host, &from, incarnation, beat),
@@ -203,6 +204,7 @@
         }
         PeerNote::Holdings(fence, holdings) => keeper::adopt_holdings(host, fence, holdings),
         PeerNote::Crash(report) => crashes::absorb(host, &report),
+        PeerNote::PastCrash(crash) => crashes::absorb_past(host, &crash),
     }
 }
 
