--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -429,11 +429,13 @@
     breaks: Option<u64>,
     named: bool,
 ) -> Response<AnswerBody> {
+    // One that goes on after that event breaks off at its first.
+    let breaks = breaks.map(|at| at.max(after + 1));
     let last = breaks.map_or(events, |at| at.min(events));
     let whole = (after + 1..=last).filter(|number| breaks != Some(*number));
     let mut pieces: Vec<std::io::Result<Bytes>> =
         whole.map(|number| Ok(event(number, named))).collect();
-    if let Some(at) = breaks.filter(|at| *at > after) {
+    if let Some(at) = breaks {
         pieces.push(Ok(event(at, named).slice(..8)));
         pieces.push(Err(std::io::Error::other("broken off")));
     }
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod engine;
 pub mod link;
+pub mod mesh;
 pub mod store;
 
 pub use engine::{EngineFault, EngineSpace, SeenRequest, SiteEngine};
 pub use link::{LinkMode, SiteLink};
+pub use mesh::{MeshMode, SiteMesh};
 pub use store::{SiteStore, StoreFault};
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -30,10 +30,18 @@
     Silent,
     /// It does writes and does not answer them.
     LosesAnswers,
+    /// It does writes a while later and does not answer them.
+    WritesLate,
     /// It reads from a state of a while ago.
     Stale,
 }
 
+/// Time after which a late write is done, longer than any caller waits for its answer.
+const LATENESS: Duration = Duration::from_millis(1_700);
+
+/// Time after which a call that is not answered ends.
+const SILENCE: Duration = Duration::from_secs(60);
+
 #[derive(Clone, Debug)]
 struct StoredRow {
     value: Option<String>,
@@ -51,6 +59,8 @@
     stale: Option<(StoredRows, u64)>,
     fault: StoreFault,
     calls: u64,
+    /// What is stored instead of a value, both encoded.
+    aliases: BTreeMap<String, String>,
 }
 
 /// A store on a loopback port.
@@ -137,6 +147,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Stores `alias` wherever a process writes `value`, as a translator of addresses would.
+    pub fn set_alias(&self, value: &str, alias: &str) {
+        let (value, alias) = (encode(value.as_bytes()), encode(alias.as_bytes()));
+        lock(&self.state).aliases.insert(value, alias);
+    }
+
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u64 {
         lock(&self.state).calls
@@ -176,18 +192,28 @@
     match fault {
         StoreFault::Busy => return status(StatusCode::SERVICE_UNAVAILABLE),
         StoreFault::Silent => {
-            sleep(Duration::from_secs(60)).await;
+            sleep(SILENCE).await;
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
         _ => {}
     }
     let query = parse_query(parts.uri.query().unwrap_or(""));
     match parts.uri.path() {
+        "/rows-tx" if fault == StoreFault::WritesLate => {
+            // The write outlives the call.
+            tokio::spawn(async move {
+                sleep(LATENESS).await;
+                transact(&mut lock(&state), &body);
+                changed.notify_waiters();
+            });
+            sleep(SILENCE).await;
+            status(StatusCode::SERVICE_UNAVAILABLE)
+        }
         "/rows-tx" => {
             let answered = transact(&mut lock(&state), &body);
             changed.notify_waiters();
             if fault == StoreFault::LosesAnswers {
-                sleep(Duration::from_secs(60)).await;
+                sleep(SILENCE).await;
             }
             answered
         }
@@ -222,6 +248,7 @@
         .chain(message.remove.iter().map(|row| (row, None)))
     {
         let row_key = (row.table.clone(), row.key.clone());
+        let value = value.map(|value| state.aliases.get(&value).cloned().unwrap_or(value));
         state.rows.insert(row_key, StoredRow { value, version });
     }
     with_rows(StatusCode::OK, &[], version, false)
