Keep the datagrams of a host from growing with the fleet

Each host that saw a stranger named all its peers to all its peers: the cube of the hosts when a fleet starts. Beats went to all each 0.3 s however many there are. Ruled out: one relay for all beats (a second hop, and a fleet without beats while the relay is lost); the list in the store alone (read once, while others still start). Change: who sees a stranger introduces itself to that one; an introduction names 24 peers drawn at random; above 75 hosts the pause between beats grows with the fleet, and the time after which a peer counts as silent with it. Up to 75 hosts nothing changes in time. The comment on silence said that two beats in a row may be lost; it was one, before as now.

--- /dev/null
+++ b/crates/decisions/src/beat_pace.rs
@@ -0,0 +1,48 @@
+//! How often hosts beat to each other, and when one that does not counts as silent.
+//!
+//! Every host beats to every other one. So that the datagrams of a host do not grow with the fleet,
+//! the pause between two beats does, and with it the time after which a peer counts as silent.
+
+use std::time::Duration;
+
+/// Least time between two beats.
+const LEAST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest time between two beats in a fleet of up to 75 hosts.
+const LONGEST_PAUSE: Duration = Duration::from_millis(300);
+
+/// Least time between two beats for each peer that gets them.
+const PAUSE_A_PEER: Duration = Duration::from_millis(4);
+
+/// The same for the keeper, whose beats carry its lease.
+const KEEPER_PAUSE_A_PEER: Duration = Duration::from_millis(1);
+
+/// Pace of beats in a fleet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BeatPace {
+    /// Least time between two beats, however much there is to tell.
+    pub least: Duration,
+    /// Longest time between two beats.
+    pub longest: Duration,
+    /// Time without a beat after which a peer counts as silent: one may be lost.
+    pub silence: Duration,
+}
+
+impl BeatPace {
+    /// Returns the pace of a host that hears `peers` others.
+    pub fn of(peers: usize) -> Self {
+        let longest = pause_for(PAUSE_A_PEER, peers).max(LONGEST_PAUSE);
+        let least = pause_for(PAUSE_A_PEER, peers).max(LEAST_PAUSE);
+        Self { least, longest, silence: longest * 2 + longest / 3 }
+    }
+
+    /// Returns the pace of the keeper that hears `peers` others.
+    pub fn of_keeper(peers: usize) -> Self {
+        let least = pause_for(KEEPER_PAUSE_A_PEER, peers).clamp(LEAST_PAUSE, LONGEST_PAUSE);
+        Self { least, longest: LONGEST_PAUSE, ..Self::of(peers) }
+    }
+}
+
+fn pause_for(a_peer: Duration, peers: usize) -> Duration {
+    a_peer.saturating_mul(u32::try_from(peers).unwrap_or(u32::MAX))
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each module is a state machine: time and events go in, messages and actions come out. The
 //! daemons and the scenarios run the same code.
 
+pub mod beat_pace;
 pub mod cold_start;
 pub mod dispatch;
 pub mod ejection;
--- a/crates/decisions/src/team_levels.rs
+++ b/crates/decisions/src/team_levels.rs
@@ -12,8 +12,7 @@
 use dotterellane_units::{ClockInstant, HostId, HostIncarnation, TeamId, TokenCount};
 use serde::{Deserialize, Serialize};
 
-/// Time without a report after which a peer counts as silent.
-pub const PEER_SILENCE: Duration = Duration::from_millis(700);
+use crate::beat_pace::BeatPace;
 
 /// Time without a report after which a peer no longer holds a part of the rate.
 pub const PEER_MEMORY: Duration = Duration::from_secs(20);
@@ -62,9 +61,9 @@
     }
 }
 
-/// Time for which a team whose spending changed is named in all reports; several go out meanwhile, in
+/// Longest pauses between beats for which a team whose spending changed is named in all reports, in
 /// case some are lost.
-const REPORT_SPAN: Duration = Duration::from_millis(1_500);
+const REPORT_PAUSES: u32 = 5;
 
 /// What one host spent for its teams.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -198,8 +197,9 @@
     /// Returns what to report to the peers: all teams if `whole`, otherwise those that spent of late.
     pub fn report(&mut self, now: ClockInstant, whole: bool) -> SpendingReport {
         let part = self.own_part(now);
+        let span = self.pace(now).longest * REPORT_PAUSES;
         let named = |entry: &TeamLevel| {
-            whole || entry.changed.is_some_and(|changed| now.since(changed) < REPORT_SPAN)
+            whole || entry.changed.is_some_and(|changed| now.since(changed) < span)
         };
         let entries = self.teams.iter_mut().filter(|(_, entry)| named(entry));
         let entries = entries.map(|(team, entry)| {
@@ -254,18 +254,25 @@
     /// included, over the hosts it knows.
     pub fn own_part(&mut self, now: ClockInstant) -> f64 {
         self.peers.retain(|_, peer| now.since(peer.heard) < TOTALS_MEMORY);
+        let silence = self.pace(now).silence;
         let (mut known, mut silent) = (1, 0);
         for peer in self.peers.values() {
             let age = now.since(peer.heard);
             // One that said that it leaves has gone once it is silent, and spends nothing.
-            let memory = if peer.leaving { PEER_SILENCE } else { PEER_MEMORY };
+            let memory = if peer.leaving { silence } else { PEER_MEMORY };
             known += usize::from(age < memory);
-            silent += usize::from(age < memory && age > PEER_SILENCE);
+            silent += usize::from(age < memory && age > silence);
         }
         #[expect(clippy::cast_precision_loss, reason = "hosts are few")]
         let part = (known - silent) as f64 / known as f64;
         part
     }
+
+    /// Returns the pace of the peers' beats.
+    fn pace(&self, now: ClockInstant) -> BeatPace {
+        let heard = self.peers.values().filter(|peer| now.since(peer.heard) < PEER_MEMORY);
+        BeatPace::of(heard.count())
+    }
 }
 
 fn refill(entry: &mut TeamLevel, now: ClockInstant, part: f64) {
--- /dev/null
+++ b/crates/decisions/tests/beat_pace.rs
@@ -0,0 +1,74 @@
+//! Beats slow down with the fleet, and silence with them.
+
+use std::time::Duration;
+
+use dotterellane_decisions::beat_pace::BeatPace;
+use dotterellane_decisions::team_levels::{TeamLevels, TeamLimit};
+use dotterellane_units::{ClockInstant, HostId, HostIncarnation, TeamId, TokenCount};
+use googletest::prelude::*;
+
+/// Datagrams a second that a host sends at most, in a fleet of any size above a few hosts.
+const MOST_DATAGRAMS: f64 = 251.0;
+
+#[gtest]
+fn pace_small_fleet() {
+    for peers in [0, 3, 25] {
+        expect_that!(BeatPace::of(peers).least, eq(Duration::from_millis(100)), "{peers}");
+    }
+    for peers in [0, 3, 75] {
+        let pace = BeatPace::of(peers);
+        expect_that!(pace.longest, eq(Duration::from_millis(300)), "{peers}");
+        expect_that!(pace.silence, eq(Duration::from_millis(700)), "{peers}");
+    }
+}
+
+#[gtest]
+fn pace_datagrams_do_not_grow() {
+    for peers in [25, 76, 100, 300, 400] {
+        let pace = BeatPace::of(peers);
+        let sent = peers as f64 / pace.least.as_secs_f64();
+        expect_that!(sent, le(MOST_DATAGRAMS), "{peers}");
+        // One beat may be lost.
+        expect_that!(pace.silence, gt(pace.longest * 2), "{peers}");
+    }
+}
+
+#[gtest]
+fn pace_large_fleet_hears_all_its_hosts() {
+    let hosts = 300;
+    let pace = BeatPace::of(hosts - 1);
+    let team: TeamId = "team-a".parse().expect("an id");
+    let limit = TeamLimit { rate: 1.0, burst: 3_000.0 };
+    let mut levels = TeamLevels::new(ClockInstant(0), true);
+    levels.set_limits(ClockInstant(0), [(team.clone(), limit)]);
+    let mut others: Vec<(HostId, TeamLevels)> = (1..hosts)
+        .map(|index| {
+            let mut other = TeamLevels::new(ClockInstant(0), true);
+            other.set_limits(ClockInstant(0), [(team.clone(), limit)]);
+            (format!("h{index}").parse().expect("an id"), other)
+        })
+        .collect();
+    let mut now = ClockInstant(0);
+    for beat in 0..6 {
+        for (index, (name, other)) in others.iter_mut().enumerate() {
+            let at = now + pace.longest.mul_f64(index as f64 / hosts as f64);
+            // Each spends ten tokens once; every second of its beats is lost.
+            if beat == 1 {
+                other.charge(at, &team, TokenCount(10)).expect("below the limit");
+            }
+            if beat == 0 || (beat + index) % 2 == 0 {
+                let report = other.report(at, beat == 0);
+                levels.absorb(at, name, HostIncarnation(1), &report, false);
+            }
+        }
+        now = now + pace.longest;
+        if beat >= 2 {
+            expect_that!(levels.own_part(now), eq(1.0), "beat {beat}");
+        }
+    }
+    // All that was spent is known, although each host said so a few times only.
+    let spent: f64 = 10.0 * (hosts - 1) as f64;
+    let gained = now.since(ClockInstant(0)).as_secs_f64();
+    let level = levels.report(now, true).teams[0].level as f64;
+    expect_that!(level, all![le(3_000.0), ge(3_000.0 - spent - 1.0), le(3_000.0 - spent + gained)]);
+}
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use dotterellane_decisions::beat_pace::BeatPace;
 use dotterellane_decisions::keeper_lease::{KeeperLease, LeaseRow, LeaseStep};
 use dotterellane_decisions::rendezvous::role_holder;
 use dotterellane_decisions::weight_plan::{
@@ -249,8 +250,9 @@
             Some(keeper) if keeper.host != host.settings.host => now.since(keeper.heard),
             _ => now.since(began).saturating_sub(START_SILENCE) + KEEPER_SILENCE,
         };
+        let peer_silence = BeatPace::of(state.peers.len()).silence;
         let live = state.peers.iter().filter(|(_, peer)| {
-            now.since(peer.heard) < KEEPER_SILENCE && !peer.leaving && peer.fresh
+            now.since(peer.heard) < peer_silence && !peer.leaving && peer.fresh
         });
         let live = live.map(|(name, peer)| (name, peer.incarnation));
         let rank = candidate_rank(live, &host.settings.host, host.incarnation);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterellane_decisions::team_levels::{PEER_MEMORY, PEER_SILENCE};
+use dotterellane_decisions::beat_pace::BeatPace;
+use dotterellane_decisions::team_levels::PEER_MEMORY;
 use dotterellane_platform::{RowWrite, TableRow, TableTransaction};
 use dotterellane_units::{HostId, HostIncarnation};
+use rand::seq::IteratorRandom;
 use tokio::time::{sleep, timeout};
 
 use crate::crashes;
@@ -16,18 +18,12 @@
 use crate::messages::{HostBeat, MAX_DATAGRAM_BYTES, PeerDatagram, PeerNote};
 use crate::state::{Host, KnownKeeper, KnownPeer};
 
-/// Longest time between two beats. Two that are lost in a row must not make a peer count as silent.
-const BEAT_PAUSE: Duration = Duration::from_millis(300);
-
-/// Least time between two beats.
-const LEAST_BEAT_PAUSE: Duration = Duration::from_millis(100);
-
-/// Least time between two beats for each peer that gets them.
-const BEAT_PAUSE_A_PEER: Duration = Duration::from_millis(4);
-
 /// Beats between two that introduce.
 const INTRODUCTION_BEATS: u32 = 8;
 
+/// Most peers that one introduction names; each names others, so that all are named soon.
+const INTRODUCED_PEERS: usize = 24;
+
 /// Least time between two reports of demand.
 const LEAST_DEMAND_PAUSE: Duration = Duration::from_millis(15);
 
@@ -96,49 +92,57 @@
         let introducing = count.is_multiple_of(INTRODUCTION_BEATS);
         send_beat(&host, introducing);
         count = count.wrapping_add(1);
-        let least = least_beat_pause(&host);
-        sleep(least).await;
-        let _woken = timeout(BEAT_PAUSE - least, host.spending_changed.notified()).await;
+        let pace = own_pace(&host);
+        sleep(pace.least).await;
+        let rest = pace.longest.saturating_sub(pace.least);
+        let _woken = timeout(rest, host.spending_changed.notified()).await;
     }
 }
 
-/// Returns the least time between two beats: longer with more peers, since all get all beats. The
-/// keeper's carry its lease and do not slow down.
-fn least_beat_pause(host: &Host) -> Duration {
-    if keeper::is_keeping(host) {
-        return LEAST_BEAT_PAUSE;
-    }
-    let peers = u32::try_from(host.state().peers.len()).unwrap_or(u32::MAX);
-    BEAT_PAUSE_A_PEER.saturating_mul(peers).clamp(LEAST_BEAT_PAUSE, BEAT_PAUSE)
+fn own_pace(host: &Host) -> BeatPace {
+    let peers = host.state().peers.len();
+    if keeper::is_keeping(host) { BeatPace::of_keeper(peers) } else { BeatPace::of(peers) }
 }
 
-/// Sends one beat now; one that introduces names the peers and all teams, and goes to the seeds too.
+/// Sends one beat to all peers now; one that introduces names peers and all teams, and goes to the
+/// seeds too.
 pub fn send_beat(host: &Host, introducing: bool) {
+    let beat = next_beat(host, introducing);
+    let state = host.state();
+    let mut addresses: BTreeSet<SocketAddr> =
+        state.peers.values().map(|peer| peer.address).collect();
+    if introducing {
+        addresses.extend(&state.tuning.seeds);
+        addresses.remove(&host.settings.peers);
+    }
+    drop(state);
+    let addresses: Vec<SocketAddr> = addresses.into_iter().collect();
+    send_to(host, &PeerNote::Beat(beat), &addresses);
+}
+
+fn next_beat(host: &Host, introducing: bool) -> HostBeat {
     let now = host.now();
     let keeper = keeper::mark(host);
     let mut state = host.state();
-    state.peers.retain(|_, peer| {
-        now.since(peer.heard) < if peer.leaving { PEER_SILENCE } else { PEER_MEMORY }
-    });
-    let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
-    let beat = HostBeat {
+    let silence = BeatPace::of(state.peers.len()).silence;
+    state
+        .peers
+        .retain(|_, peer| now.since(peer.heard) < if peer.leaving { silence } else { PEER_MEMORY });
+    let peers = if introducing {
+        let addresses = state.peers.values().map(|peer| peer.address);
+        addresses.sample(&mut rand::rng(), INTRODUCED_PEERS)
+    } else {
+        Vec::new()
+    };
+    HostBeat {
         leaving: host.leaving.is_cancelled(),
         fresh: state.is_fresh(now) && state.reaches_store(),
         spending: state.levels.report(now, introducing),
         running: state.own_runs(),
         keeper,
         sighting: keeper.and_then(|_| state.sighting()),
-        peers: if introducing { known.iter().copied().collect() } else { Vec::new() },
-    };
-    let seeds = if introducing { state.tuning.seeds.clone() } else { Vec::new() };
-    drop(state);
-    let mut addresses = known;
-    if introducing {
-        addresses.extend(seeds);
-        addresses.remove(&host.settings.peers);
+        peers,
     }
-    let addresses: Vec<SocketAddr> = addresses.into_iter().collect();
-    send_to(host, &PeerNote::Beat(beat), &addresses);
 }
 
 /// Receives datagrams until the daemon ends.
@@ -194,7 +198,7 @@
             peer = from.as_str(),
             address = source.to_string().as_str(),
         });
-        send_beat(host, true);
+        send_to(host, &PeerNote::Beat(next_beat(host, true)), &[source]);
         crashes::introduce(host, &from);
     }
     match note {
