Ask few runners at a time after a takeover

A runner that kept silent was asked anew each 0.3 s while the question before was still open. Ruled out: pools (each runner is asked once); callers (their connections are spread over all hosts, the peak is the keeper's alone). Change: at most 64 questions are open, and none twice to one runner. Test: 150 runners whose reports take 0.12 s: 150 questions open at a time before, 64 now.

--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -62,6 +62,9 @@
 /// Least time between two questions to one runner.
 const QUESTION_PAUSE: Duration = Duration::from_millis(300);
 
+/// Most runners that are asked at a time; after a takeover all of them have to be.
+const QUESTIONS_AT_ONCE: usize = 64;
+
 /// What this host knows as keeper or candidate.
 #[derive(Debug)]
 pub struct KeeperDesk {
@@ -69,7 +72,10 @@
     plans: BTreeMap<ServiceId, WeightPlan>,
     announced: BTreeMap<UpstreamId, RunnerHoldings>,
     repeated: ClockInstant,
+    /// Runners that were asked what they hold, and when they may be asked again.
     asked: BTreeMap<UpstreamId, ClockInstant>,
+    /// Questions that wait for an answer.
+    asking: usize,
     keeping: bool,
 }
 
@@ -86,6 +92,7 @@
             announced: BTreeMap::new(),
             repeated: ClockInstant::default(),
             asked: BTreeMap::new(),
+            asking: 0,
             keeping: false,
         }))
     }
@@ -497,18 +504,31 @@
     let doubtful: Vec<UpstreamId> =
         desk.plans.values().flat_map(|plan| plan.doubtful(now)).collect();
     for runner in doubtful {
-        let recent = desk.asked.get(&runner).is_some_and(|at| now.since(*at) < QUESTION_PAUSE);
-        if !recent {
-            desk.asked.insert(runner.clone(), now);
-            tokio::spawn(ask_runner(host.clone(), runner));
+        if desk.asking >= QUESTIONS_AT_ONCE {
+            break;
+        }
+        if desk.asked.get(&runner).is_none_or(|again| *again <= now) {
+            desk.asking += 1;
+            desk.asked.insert(runner.clone(), now + ORDER_TIMEOUT + QUESTION_PAUSE);
+            tokio::spawn(put_question(host.clone(), runner));
         }
     }
 }
 
-async fn ask_runner(host: Arc<Host>, runner: UpstreamId) {
-    let call = (host.wire.report_call)(&runner);
+async fn put_question(host: Arc<Host>, runner: UpstreamId) {
+    ask_runner(&host, &runner).await;
+    let again = host.now() + QUESTION_PAUSE;
+    let mut desk = host.desk.lock();
+    desk.asking -= 1;
+    desk.asked.insert(runner, again);
+    drop(desk);
+    host.plan_wanted.notify_one();
+}
+
+async fn ask_runner(host: &Host, runner: &UpstreamId) {
+    let call = (host.wire.report_call)(runner);
     let asked = host.now();
-    let Some(answered) = call_runner(&host, &runner, &call).await else { return };
+    let Some(answered) = call_runner(host, runner, &call).await else { return };
     let (status, body) = match answered {
         Ok(answered) => answered,
         Err(error) => {
@@ -526,11 +546,9 @@
         Ok(report) => {
             let now = host.now();
             let mut desk = host.desk.lock();
-            for plan in desk.plans.values_mut().filter(|plan| plan.knows(&runner)) {
-                plan.on_report(now, &runner, asked, &report);
+            for plan in desk.plans.values_mut().filter(|plan| plan.knows(runner)) {
+                plan.on_report(now, runner, asked, &report);
             }
-            drop(desk);
-            host.plan_wanted.notify_one();
         }
         Err(error) => spdlog::warn!("report of runner cannot be read", kv: {
             runner = runner.as_str(),
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -109,6 +109,10 @@
     events: u64,
     busy: bool,
     abandoned: usize,
+    /// Time that a report takes.
+    report_span: Duration,
+    /// When reports were asked for.
+    reported: Vec<Instant>,
 }
 
 /// Counts a run whose caller went away before it ended.
@@ -173,6 +177,16 @@
         .into_bytes()
     }
 
+    /// Lets each of its reports take `span`.
+    pub fn set_report_span(&self, span: Duration) {
+        lock(&self.state).report_span = span;
+    }
+
+    /// Returns when reports were asked for.
+    pub fn reported(&self) -> Vec<Instant> {
+        lock(&self.state).reported.clone()
+    }
+
     /// Lets it check orders against `space`, and take `load_span` for each load.
     pub fn set_space(&self, space: EngineSpace, load_span: Duration) {
         let mut state = lock(&self.state);
@@ -298,6 +312,12 @@
     }
     match parts.uri.path() {
         "/report" => {
+            let span = {
+                let mut state = lock(&state);
+                state.reported.push(Instant::now());
+                state.report_span
+            };
+            sleep(span).await;
             let state = lock(&state);
             let report = json!({
                 "stage": "both", "state": "ready", "models": state.model_list(),
