Repeat what runners hold in turn, in datagrams of bounded size

Cause: the keeper told all hosts each second what all runners hold: hosts times runners, 852 kB/s at 100 hosts with 1,001 runners. It was one datagram, so that beyond 60,000 bytes (some 1,200 runners) it was dropped with a line, and hosts learnt nothing from the keeper. Change: a change is told at once and repeated for 3 s, the rest 64 runners a second in turn (rows tell it too), 32 runners a datagram. Up to 64 runners all are repeated each second, as before. Test: 500 runners, half of all datagrams lost, 100 seconds of changes: all is heard, at most 84 runners are told at a time.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fairness;
 pub mod freshness;
 pub mod gossip;
+pub mod holdings_news;
 pub mod keep_alive;
 pub mod keeper;
 pub mod keeper_lease;
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use dotterellane_decisions::beat_pace::BeatPace;
+use dotterellane_decisions::holdings_news::HoldingsNews;
 use dotterellane_decisions::keeper_lease::{KeeperLease, LeaseRow, LeaseStep};
 use dotterellane_decisions::rendezvous::role_holder;
 use dotterellane_decisions::weight_plan::{
-    HostDemand, OrderOutcome, PlannedOrder, RunnerReport, WeightPlan,
+    HeldModel, HostDemand, OrderOutcome, PlannedOrder, RunnerReport, WeightPlan,
 };
 use dotterellane_platform::{CommitOutcome, RowCondition, RowWrite, TableRow, TableTransaction};
 use dotterellane_units::{
@@ -56,8 +57,8 @@
 /// Time within which a runner answers an order or a question.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Time after which all that runners hold is told again.
-const REPEAT_PAUSE: Duration = Duration::from_secs(1);
+/// Runners whose holdings go into one datagram.
+const RUNNERS_A_DATAGRAM: usize = 32;
 
 /// Least time between two questions to one runner.
 const QUESTION_PAUSE: Duration = Duration::from_millis(300);
@@ -70,8 +71,7 @@
 pub struct KeeperDesk {
     lease: KeeperLease,
     plans: BTreeMap<ServiceId, WeightPlan>,
-    announced: BTreeMap<UpstreamId, RunnerHoldings>,
-    repeated: ClockInstant,
+    news: HoldingsNews<(u64, Vec<HeldModel>)>,
     /// Runners that were asked what they hold, and when they may be asked again.
     asked: BTreeMap<UpstreamId, ClockInstant>,
     /// Questions that wait for an answer.
@@ -89,8 +89,7 @@
         Self(Mutex::new(KeeperDesk {
             lease: KeeperLease::new(own, incarnation, gap),
             plans: BTreeMap::new(),
-            announced: BTreeMap::new(),
-            repeated: ClockInstant::default(),
+            news: HoldingsNews::default(),
             asked: BTreeMap::new(),
             asking: 0,
             keeping: false,
@@ -249,7 +248,7 @@
         spdlog::warn!("keeper's lease ran out", kv: { host = host.settings.host.as_str() });
         desk.keeping = false;
         desk.plans.clear();
-        desk.announced.clear();
+        desk.news.clear();
     }
     if !holds {
         let state = host.state();
@@ -557,25 +556,21 @@
     }
 }
 
-/// Tells all hosts what runners hold: what changed at once, all of it now and then.
+/// Tells all hosts what runners hold.
 fn announce(host: &Host, now: ClockInstant) {
-    let (fence, changed) = {
+    let (fence, news) = {
         let mut desk = host.desk.lock();
         let Some((fence, _)) = desk.lease.held(now).filter(|_| desk.keeping) else { return };
         let all = desk.plans.values().flat_map(|plan| plan.holdings(now));
-        let all = all.map(|(runner, born, held)| RunnerHoldings { runner, born, held });
-        let all: Vec<RunnerHoldings> = all.collect();
-        let mut changed = all.clone();
-        if now.since(desk.repeated) < REPEAT_PAUSE {
-            changed.retain(|holding| desk.announced.get(&holding.runner) != Some(holding));
-        } else {
-            desk.repeated = now;
-        }
-        desk.announced = all.into_iter().map(|holding| (holding.runner.clone(), holding)).collect();
-        (fence, changed)
+        let all: Vec<_> = all.map(|(runner, born, held)| (runner, (born, held))).collect();
+        (fence, desk.news.next(now, all))
     };
-    if !changed.is_empty() {
-        send_to_all(host, &PeerNote::Holdings(fence, changed.clone()));
-        adopt_holdings(host, fence, changed);
+    let holdings = |(runner, (born, held))| RunnerHoldings { runner, born, held };
+    let news: Vec<RunnerHoldings> = news.into_iter().map(holdings).collect();
+    for part in news.chunks(RUNNERS_A_DATAGRAM) {
+        send_to_all(host, &PeerNote::Holdings(fence, part.to_vec()));
+    }
+    if !news.is_empty() {
+        adopt_holdings(host, fence, news);
     }
 }
