Read the whole change once more: a named part of a pause, a truer name, figures

The time after which a peer is silent was two pauses and a third without a name; the same value has one. `is_better` said nothing of what was better. The bound of what is repeated of holdings in the test is what can change in its span, 12, instead of a round 20 (stricter).

--- a/crates/decisions/src/beat_pace.rs
+++ b/crates/decisions/src/beat_pace.rs
@@ -17,6 +17,9 @@
 /// The same for the keeper, whose beats carry its lease.
 const KEEPER_PAUSE_A_PEER: Duration = Duration::from_millis(1);
 
+/// Thirds of the longest pause after which a peer counts as silent, so that one beat may be lost.
+const SILENT_THIRDS: u32 = 7;
+
 /// Pace of beats in a fleet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BeatPace {
@@ -33,7 +36,7 @@
     pub fn of(peers: usize) -> Self {
         let longest = pause_for(PAUSE_A_PEER, peers).max(LONGEST_PAUSE);
         let least = pause_for(PAUSE_A_PEER, peers).max(LEAST_PAUSE);
-        Self { least, longest, silence: longest * 2 + longest / 3 }
+        Self { least, longest, silence: longest * SILENT_THIRDS / 3 }
     }
 
     /// Returns the pace of the keeper that hears `peers` others.
--- a/crates/decisions/src/weight_plan/mod.rs
+++ b/crates/decisions/src/weight_plan/mod.rs
@@ -400,12 +400,12 @@
         }
         let Some((_, runner, tier, evicted)) = best else { return };
         // Another load from the store ends no sooner than one that is under way.
-        let is_better = if wanted {
+        let waiting_is_better = if wanted {
             held_busy || self.is_loading_anywhere(model)
         } else {
             self.has_near_copy(model)
         };
-        if tier == LoadTier::Store && (is_better || !self.may_load_from_store(now)) {
+        if tier == LoadTier::Store && (waiting_is_better || !self.may_load_from_store(now)) {
             return;
         }
         self.order_load(now, runner, model.clone(), tier, evicted, orders);
--- a/crates/decisions/tests/holdings_news.rs
+++ b/crates/decisions/tests/holdings_news.rs
@@ -8,6 +8,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+/// Changes that are still repeated, at one in each of 250 ms over three seconds.
+const MOST_FRESH: usize = 12;
+
 fn at(millis: u64) -> ClockInstant {
     ClockInstant::from_millis(millis)
 }
@@ -75,7 +78,7 @@
             heard.extend(reached);
         }
         expect_that!(heard, eq(&all));
-        expect_that!(most, le(REPEATED_AT_ONCE + 20));
+        expect_that!(most, le(REPEATED_AT_ONCE + MOST_FRESH));
     }
 }
 
