Heed what upstreams say of themselves in answers

Cause: an upstream that leaves says so in all its answers, and one that turns a request away may name a time for which it wants nothing; both went unread. Rows of the directory were the only news of leaving, so a host out of touch, or with the store down, sent on. Ruled out: acting on the row alone (late), a mark in the directory's entry (a later row with the same start would end it).

Change: two state machines without I/O (leaving_marks, send_pauses) behind the directory's choice of upstreams; a mark ends with a later start alone and is told in beats, to strangers whole. A host asks again right before it sends whether the upstream may get the request and the configuration allows it, as the connection may have taken half a second to open. The keeper's questions and orders keep to a pause too. Callers that nobody takes in time are refused at once with the time.

--- a/crates/decisions/src/beat_pace.rs
+++ b/crates/decisions/src/beat_pace.rs
@@ -17,6 +17,9 @@
 /// The same for the keeper, whose beats carry its lease.
 const KEEPER_PAUSE_A_PEER: Duration = Duration::from_millis(1);
 
+/// Longest pauses for which beats repeat what is new, in case some are lost.
+const REPEATED_PAUSES: u32 = 5;
+
 /// Thirds of the longest pause after which a peer counts as silent, so that one beat may be lost.
 const SILENT_THIRDS: u32 = 7;
 
@@ -39,6 +42,11 @@
         Self { least, longest, silence: longest * SILENT_THIRDS / 3 }
     }
 
+    /// Returns the time for which beats repeat what is new.
+    pub fn news_span(&self) -> Duration {
+        self.longest * REPEATED_PAUSES
+    }
+
     /// Returns the pace of the keeper that hears `peers` others.
     pub fn of_keeper(peers: usize) -> Self {
         let least = pause_for(KEEPER_PAUSE_A_PEER, peers).clamp(LEAST_PAUSE, LONGEST_PAUSE);
--- a/crates/decisions/src/team_levels.rs
+++ b/crates/decisions/src/team_levels.rs
@@ -61,10 +61,6 @@
     }
 }
 
-/// Longest pauses between beats for which a team whose spending changed is named in all reports, in
-/// case some are lost.
-const REPORT_PAUSES: u32 = 5;
-
 /// What one host spent for its teams.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -197,7 +193,7 @@
     /// Returns what to report to the peers: all teams if `whole`, otherwise those that spent of late.
     pub fn report(&mut self, now: ClockInstant, whole: bool) -> SpendingReport {
         let part = self.own_part(now);
-        let span = self.pace(now).longest * REPORT_PAUSES;
+        let span = self.pace(now).news_span();
         let named = |entry: &TeamLevel| {
             whole || entry.changed.is_some_and(|changed| now.since(changed) < span)
         };
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -68,6 +68,15 @@
     Foreign(&'static str),
 }
 
+/// What an upstream says of itself in the head of an answer, whatever became of the request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UpstreamNotice {
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// Time for which it wants nothing from this host.
+    pub pause: Option<Duration>,
+}
+
 /// An upstream as the directory shows it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DirectoryEntry {
@@ -137,6 +146,8 @@
     pub send: fn(&HeaderMap, &SendHead<'_>) -> HeaderMap,
     /// Reads the head of the answer of an upstream to the request with the given id.
     pub answer: fn(StatusCode, &HeaderMap, &str, &UpstreamId) -> AnswerKind,
+    /// Reads what the upstream with the given name says of itself in the head of an answer.
+    pub notice: fn(StatusCode, &HeaderMap, &UpstreamId) -> UpstreamNotice,
     /// Returns the headers of an answer that go to the caller.
     pub relay: fn(&HeaderMap) -> HeaderMap,
     /// Returns the call that gives an order.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use dotterellane_decisions::leaving_marks::{LeavingMark, LeavingMarks};
+use dotterellane_decisions::send_pauses::SendPauses;
 use dotterellane_decisions::weight_plan::HeldModel;
 use dotterellane_units::{ClockInstant, ServiceId, UpstreamId};
 
@@ -50,8 +52,8 @@
 }
 
 impl KnownUpstream {
-    /// Tells whether it may get requests.
-    pub fn is_usable(&self, now: ClockInstant) -> bool {
+    /// Tells whether rows and connections speak for sending it requests.
+    fn is_usable(&self, now: ClockInstant) -> bool {
         !self.entry.report.draining
             && !self.is_unreachable(now)
             && self.used_until.is_none_or(|until| now < until)
@@ -82,6 +84,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     upstreams: BTreeMap<UpstreamId, KnownUpstream>,
+    /// Upstreams that said that they leave, whatever their rows say.
+    leaving: LeavingMarks,
+    /// Upstreams that want nothing from this host for a while.
+    pauses: SendPauses,
 }
 
 impl Directory {
@@ -133,6 +139,51 @@
     /// Drops upstreams whose rows have been gone for long.
     pub fn sweep(&mut self, now: ClockInstant) {
         self.upstreams.retain(|_, known| known.used_until.is_none_or(|until| now < until));
+        self.leaving.sweep(now, |name| self.upstreams.contains_key(name));
+    }
+
+    /// Notes that an upstream, started at `born` or later, said that it leaves. Tells whether that is
+    /// news.
+    pub fn note_leaving(&mut self, now: ClockInstant, name: &UpstreamId, born: u64) -> bool {
+        self.leaving.note(now, name, born)
+    }
+
+    /// Tells whether an upstream leaves, by its row or by what it said.
+    pub fn is_leaving(&self, name: &UpstreamId) -> bool {
+        self.upstreams.get(name).is_some_and(|known| {
+            let report = &known.entry.report;
+            report.draining || self.leaving.is_leaving(name, report.born)
+        })
+    }
+
+    /// Returns the upstreams that said that they leave: all of them, or those that did so within `span`.
+    pub fn leaving_marks(&self, now: ClockInstant, span: Option<Duration>) -> Vec<LeavingMark> {
+        span.map_or_else(|| self.leaving.all(), |span| self.leaving.recent(now, span))
+    }
+
+    /// Notes that an upstream wants nothing from this host for `span`.
+    pub fn note_pause(&mut self, now: ClockInstant, name: &UpstreamId, span: Duration) {
+        self.pauses.note(now, name, span);
+    }
+
+    /// Returns when an upstream takes requests of this host again; `None` if it does now.
+    pub fn pause_end(&self, now: ClockInstant, name: &UpstreamId) -> Option<ClockInstant> {
+        self.pauses.end(now, name)
+    }
+
+    /// Returns when the first upstream that holds `choice` takes requests again, if all that hold it
+    /// want nothing now.
+    pub fn first_pause_end(
+        &self,
+        now: ClockInstant,
+        service: &ServiceId,
+        choice: Option<&ModelChoice>,
+    ) -> Option<ClockInstant> {
+        let holders = self.reachable(service, now);
+        let mut holders =
+            holders.filter(|(_, known)| choice.is_none_or(|choice| known.holds(choice, now)));
+        let first = self.pause_end(now, holders.next()?.0)?;
+        holders.try_fold(first, |first, (name, _)| Some(first.min(self.pause_end(now, name)?)))
     }
 
     /// Takes in what the keeper knows an upstream to hold.
@@ -207,14 +258,30 @@
         self.upstreams.iter()
     }
 
+    /// Tells whether an upstream may get a request of this host now.
+    pub fn may_get(&self, now: ClockInstant, name: &UpstreamId) -> bool {
+        let usable = self.upstreams.get(name).is_some_and(|known| known.is_usable(now));
+        usable && !self.is_leaving(name) && self.pause_end(now, name).is_none()
+    }
+
     /// Returns the upstreams of one service that may get requests.
     pub fn usable<'a>(
         &'a self,
         service: &'a ServiceId,
         now: ClockInstant,
     ) -> impl Iterator<Item = (&'a UpstreamId, &'a KnownUpstream)> {
-        let of_service =
-            move |known: &KnownUpstream| known.entry.service == *service && known.is_usable(now);
-        self.upstreams.iter().filter(move |(_, known)| of_service(known))
+        let reachable = self.reachable(service, now);
+        reachable.filter(move |(name, _)| self.pause_end(now, name).is_none())
+    }
+
+    /// Returns the upstreams of one service that may get requests or want a pause before.
+    fn reachable<'a>(
+        &'a self,
+        service: &'a ServiceId,
+        now: ClockInstant,
+    ) -> impl Iterator<Item = (&'a UpstreamId, &'a KnownUpstream)> {
+        self.upstreams.iter().filter(move |(name, known)| {
+            known.entry.service == *service && known.is_usable(now) && !self.is_leaving(name)
+        })
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -18,7 +18,8 @@
 use crate::crashes::{FlightHold, fingerprint_of, report_break};
 use crate::directory::{REFUSED_PAUSE, UNREACHABLE_PAUSE};
 use crate::document::CallKind;
-use crate::exchange::{Exchange, ExchangeError, exchange, read_whole};
+use crate::exchange::{Exchange, ExchangeError, exchange, open, read_whole};
+use crate::notices;
 use crate::refusal::GatewayRefusal;
 use crate::relay::start_relay;
 use crate::state::{Host, RunHold, WaitHold, WaitingRequest};
@@ -92,6 +93,8 @@
     pub name: UpstreamId,
     /// Address.
     pub address: SocketAddr,
+    /// Start of the upstream, in milliseconds.
+    pub born: u64,
     /// Whether another upstream could run the request, that it was not sent to.
     pub replaceable: bool,
     /// Upstreams that could run the request.
@@ -286,8 +289,12 @@
         if left_at.is_some_and(|at| host.now().since(at) > LEAVING_WAIT) {
             return Err(GatewayRefusal::not_run("leaving", LEAVING_RETRY));
         }
+        let longest = admission.route.patience().mul_f64(WAITING_PART);
+        if let Some(pause) = pause_beyond(host, call, journey, started + longest) {
+            return Err(GatewayRefusal::not_run("upstreams_want_a_pause", pause));
+        }
         let waited = host.now().since(started);
-        if waited > admission.route.patience().mul_f64(WAITING_PART) {
+        if waited > longest {
             return Err(GatewayRefusal::not_run("no_place_soon", NO_PLACE_RETRY));
         }
         if let Some(choice) = &call.head.model
@@ -305,6 +312,21 @@
     }
 }
 
+/// Returns the time until an upstream takes the request, if all that could run it want nothing
+/// until after `latest`.
+fn pause_beyond(
+    host: &Host,
+    call: &GatewayCall,
+    journey: &Journey,
+    latest: ClockInstant,
+) -> Option<Duration> {
+    let now = host.now();
+    let state = host.state();
+    let choice = call.head.model.as_ref();
+    let end = state.directory.first_pause_end(now, &journey.service, choice)?;
+    (end > latest.min(journey.deadline)).then(|| end.since(now))
+}
+
 /// Looks once for an upstream.
 fn look(
     host: &Arc<Host>,
@@ -338,16 +360,17 @@
     let name = chosen.name.clone();
     let replaceable = candidates.iter().any(|one| one.name != name && !one.tried && !one.failing);
     let running = chosen.running;
-    let Some(address) = state.directory.get(&name).map(|known| known.entry.address) else {
+    let Some(entry) = state.directory.get(&name).map(|known| &known.entry) else {
         return Ok(None);
     };
+    let (address, born) = (entry.address, entry.report.born);
     if !state.crashes.enter(now, journey.fingerprint, &name) {
         return Ok(None);
     }
     let flight = FlightHold::new(host, journey.fingerprint, name.clone());
     let hold = RunHold::new(host, &mut state, name.clone(), call.head.model.clone());
     let candidates = candidates.len();
-    Ok(Some(FoundPlace { name, address, replaceable, candidates, running, hold, flight }))
+    Ok(Some(FoundPlace { name, address, born, replaceable, candidates, running, hold, flight }))
 }
 
 /// Sends the request to an upstream and waits for the head of the answer.
@@ -381,8 +404,12 @@
         }
         _ => remaining,
     };
+    let opened = open(place.address, head_timeout).await;
+    // What is known of the upstream and the request may have changed while the connection opened.
+    if opened.is_ok() && !may_still_send(host, call, &place.name) {
+        return SendEnd::NotSent;
+    }
     let sending = Exchange {
-        peer: place.address,
         method: &call.method,
         target: &call.target,
         headers: (host.wire.send)(&call.headers, &head),
@@ -391,7 +418,10 @@
     };
     journey.sends += 1;
     journey.tried.push(place.name.clone());
-    let sent = exchange(sending).await;
+    let sent = match opened {
+        Ok(connection) => exchange(connection, sending).await,
+        Err(error) => Err(error),
+    };
     let end = classify(host, call, journey, place, sent);
     let label = match &end {
         SendEnd::Head(..) => "answered",
@@ -403,6 +433,11 @@
     end
 }
 
+fn may_still_send(host: &Host, call: &GatewayCall, upstream: &UpstreamId) -> bool {
+    let state = host.state();
+    state.directory.may_get(host.now(), upstream) && admit(host, &state, call).is_ok()
+}
+
 fn classify(
     host: &Arc<Host>,
     call: &Arc<GatewayCall>,
@@ -435,6 +470,9 @@
     };
     let kind =
         (host.wire.answer)(answer.status(), answer.headers(), &call.head.request, &place.name);
+    if !matches!(kind, AnswerKind::Foreign(_) | AnswerKind::Stranger) {
+        notices::note(host, &place.name, place.born, answer.status(), answer.headers());
+    }
     match kind {
         AnswerKind::Run => SendEnd::Head(place, Box::new(answer)),
         AnswerKind::NotRun => {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::time::timeout;
@@ -49,11 +50,16 @@
     },
 }
 
+/// A connection over which nothing was sent yet.
+#[derive(Debug)]
+pub struct OpenConnection {
+    peer: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+}
+
 /// A call of an upstream.
 #[derive(Clone, Debug)]
 pub struct Exchange<'a> {
-    /// Address of the upstream.
-    pub peer: SocketAddr,
     /// Method.
     pub method: &'a Method,
     /// Path and query.
@@ -66,14 +72,13 @@
     pub head_timeout: Duration,
 }
 
-/// Sends a call and returns the head of its answer with the body still to be read.
+/// Opens a connection to an upstream.
 ///
 /// # Errors
-/// Fails if no answer comes in time; the error tells whether anything was sent.
-pub async fn exchange(call: Exchange<'_>) -> Result<Response<Incoming>, ExchangeError> {
-    let peer = call.peer;
+/// Fails if it does not open within `span` or the longest time that a connection may take.
+pub async fn open(peer: SocketAddr, span: Duration) -> Result<OpenConnection, ExchangeError> {
     let not_sent = |cause: String| ExchangeError::NotSent { peer, cause, refused: false };
-    let opening = timeout(CONNECT_TIMEOUT.min(call.head_timeout), connect_tcp(peer)).await;
+    let opening = timeout(CONNECT_TIMEOUT.min(span), connect_tcp(peer)).await;
     let stream = opening
         .map_err(|_elapsed| not_sent(format!("no connection within {CONNECT_TIMEOUT:?}")))?
         .map_err(|error| ExchangeError::NotSent {
@@ -81,11 +86,24 @@
             cause: error.to_string(),
             refused: error.kind() == ErrorKind::ConnectionRefused,
         })?;
-    let (mut sender, driver) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+    let (sender, driver) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| not_sent(error.to_string()))?;
     // Its errors reach the call through the sender and the body.
     tokio::spawn(driver);
+    Ok(OpenConnection { peer, sender })
+}
+
+/// Sends a call and returns the head of its answer with the body still to be read.
+///
+/// # Errors
+/// Fails if no answer comes in time; the error tells whether anything was sent.
+pub async fn exchange(
+    connection: OpenConnection,
+    call: Exchange<'_>,
+) -> Result<Response<Incoming>, ExchangeError> {
+    let OpenConnection { peer, mut sender } = connection;
+    let not_sent = |cause: String| ExchangeError::NotSent { peer, cause, refused: false };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() =
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -19,8 +19,9 @@
 
 use crate::call::{OrderIssuer, RunnerCall};
 use crate::document::RoutingDocument;
-use crate::exchange::{Exchange, ExchangeError, exchange, read_whole};
+use crate::exchange::{Exchange, ExchangeError, exchange, open, read_whole};
 use crate::messages::{KeeperMark, PeerNote, RunnerHoldings};
+use crate::notices;
 use crate::peers::{send_beat, send_to_all};
 use crate::state::{Host, KnownKeeper};
 
@@ -201,7 +202,9 @@
     {
         let state = host.state();
         for (name, known) in state.directory.iter() {
-            let entry = (name.clone(), known.entry.report.clone());
+            let mut report = known.entry.report.clone();
+            report.draining = state.directory.is_leaving(name);
+            let entry = (name.clone(), report);
             reports.entry(known.entry.service.clone()).or_default().push(entry);
         }
     }
@@ -475,13 +478,25 @@
 
 /// Calls a runner on the fleet's own behalf; `None` if it is not known.
 async fn call_runner(
-    host: &Host,
+    host: &Arc<Host>,
     runner: &UpstreamId,
     call: &RunnerCall,
 ) -> Option<Result<(http::StatusCode, bytes::Bytes), ExchangeError>> {
-    let peer = host.state().directory.get(runner).map(|known| known.entry.address)?;
-    let sending = Exchange {
+    let (peer, born) = {
+        let state = host.state();
+        let entry = &state.directory.get(runner)?.entry;
+        (entry.address, entry.report.born)
+    };
+    let wants_pause = || host.state().directory.pause_end(host.now(), runner).is_some();
+    let paused = || ExchangeError::NotSent {
         peer,
+        cause: "it wants nothing for a while".to_owned(),
+        refused: false,
+    };
+    if wants_pause() {
+        return Some(Err(paused()));
+    }
+    let sending = Exchange {
         method: &call.method,
         target: call.path,
         headers: call.headers.clone(),
@@ -489,7 +504,12 @@
         head_timeout: ORDER_TIMEOUT,
     };
     let answered = async {
-        let head = exchange(sending).await?;
+        let connection = open(peer, ORDER_TIMEOUT).await?;
+        if wants_pause() {
+            return Err(paused());
+        }
+        let head = exchange(connection, sending).await?;
+        notices::note(host, runner, born, head.status(), head.headers());
         read_whole(peer, head, ORDER_TIMEOUT).await
     };
     Some(answered.await.map(|(status, _, body)| (status, body)))
@@ -524,7 +544,7 @@
     host.plan_wanted.notify_one();
 }
 
-async fn ask_runner(host: &Host, runner: &UpstreamId) {
+async fn ask_runner(host: &Arc<Host>, runner: &UpstreamId) {
     let call = (host.wire.report_call)(runner);
     let asked = host.now();
     let Some(answered) = call_runner(host, runner, &call).await else { return };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod logging;
 pub mod messages;
 pub mod metrics;
+pub mod notices;
 pub mod peers;
 pub mod refusal;
 pub mod relay;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use dotterellane_decisions::leaving_marks::LeavingMark;
 use dotterellane_decisions::quarantine::{CrashReport, RememberedCrash};
 use dotterellane_decisions::team_levels::SpendingReport;
 use dotterellane_decisions::weight_plan::{HeldModel, HostDemand};
@@ -53,6 +54,8 @@
     pub spending: SpendingReport,
     /// Requests that it runs, by upstream.
     pub running: Vec<(UpstreamId, u32)>,
+    /// Upstreams that said that they leave: those of late, or all of them now and then.
+    pub leaving_upstreams: Vec<LeavingMark>,
     /// The keeper's lease, if it holds it.
     pub keeper: Option<KeeperMark>,
     /// What the store showed it last; only the keeper tells.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,8 @@
     pub answers: IntCounterVec,
     /// Sends to upstreams by how they ended.
     pub sends: IntCounterVec,
+    /// What upstreams said of themselves in answers.
+    pub notices: IntCounterVec,
     /// Orders to runners by kind, tier and outcome.
     pub orders: IntCounterVec,
     /// Calls to the platform's store by step and outcome.
@@ -63,6 +65,11 @@
                 "Requests sent to upstreams.",
                 &["outcome"],
             )?,
+            notices: counter(
+                "dotterellane_upstream_notices_total",
+                "Upstreams that said that they leave or want a pause.",
+                &["kind"],
+            )?,
             orders: counter(
                 "dotterellane_orders_total",
                 "Orders to runners.",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,6 +16,7 @@
 use crate::followers;
 use crate::keeper;
 use crate::messages::{HostBeat, MAX_DATAGRAM_BYTES, PeerDatagram, PeerNote};
+use crate::notices;
 use crate::state::{Host, KnownKeeper, KnownPeer};
 
 /// Beats between two that introduce.
@@ -134,11 +135,13 @@
     } else {
         Vec::new()
     };
+    let news_span = (!introducing).then(|| BeatPace::of(state.peers.len()).news_span());
     HostBeat {
         leaving: host.leaving.is_cancelled(),
         fresh: state.is_fresh(now) && state.reaches_store(),
         spending: state.levels.report(now, introducing),
         running: state.own_runs(),
+        leaving_upstreams: state.directory.leaving_marks(now, news_span),
         keeper,
         sighting: keeper.and_then(|_| state.sighting()),
         peers,
@@ -234,6 +237,7 @@
     }
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
     drop(state);
+    notices::absorb(host, from, &beat.leaving_upstreams);
     match beat.keeper {
         Some(mark) => keeper::on_mark(host, mark),
         None if gave_up => keeper::on_given_up(host),
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -36,6 +36,8 @@
     Fails,
     /// It takes this long, in milliseconds.
     Slow(u64),
+    /// It turns the request away and wants nothing from its sender for this long, in milliseconds.
+    TurnsAway(u64),
 }
 
 /// A request that reached the runner.
@@ -97,6 +99,8 @@
     chance: Option<FaultChance>,
     wrongs: Vec<String>,
     omits_ids: bool,
+    /// Whether all its answers say that it leaves.
+    leaving: bool,
     /// Path at which a request crashes the runner, and what ends its server.
     deadly: Option<(String, CancellationToken)>,
     fence: Option<(u64, String)>,
@@ -210,6 +214,11 @@
         lock(&self.state).deadly = Some((target.to_owned(), self.server.stop.clone()));
     }
 
+    /// Lets all its answers say that it leaves, whatever its row says.
+    pub fn set_leaving(&self, leaving: bool) {
+        lock(&self.state).leaving = leaving;
+    }
+
     /// Starts it anew: it holds nothing but its disk, and knows nothing of before.
     pub fn restart(&self) {
         let mut state = lock(&self.state);
@@ -218,6 +227,7 @@
         state.accepted = 0;
         state.busy = false;
         state.fence = None;
+        state.leaving = false;
     }
 
     /// Returns what was wrong with orders: too much for its space, or holders in turn.
@@ -298,6 +308,18 @@
     name: String,
     state: Arc<Mutex<EngineState>>,
     request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let mut answer = handle(name, state.clone(), request).await;
+    if lock(&state).leaving {
+        set(&mut answer, "server-leaving", "1");
+    }
+    answer
+}
+
+async fn handle(
+    name: String,
+    state: Arc<Mutex<EngineState>>,
+    request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
@@ -337,7 +359,8 @@
         let drawn = state.chance.as_mut().and_then(|chance| chance.draw(events));
         let fault = state.faults.pop_front().or(drawn);
         let absent = !choice.is_empty() && !state.holds(&choice);
-        let ran = !absent && fault != Some(EngineFault::NotRun);
+        let turned_away = matches!(fault, Some(EngineFault::NotRun | EngineFault::TurnsAway(_)));
+        let ran = !absent && !turned_away;
         state.seen.push(SeenRequest {
             id: id.clone(),
             target: parts.uri.to_string(),
@@ -360,6 +383,10 @@
     if !ran {
         let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
         set(&mut answer, "x-not-run", "1");
+        if let Some(EngineFault::TurnsAway(millis)) = fault {
+            let seconds = Duration::from_millis(millis).as_secs_f64();
+            set(&mut answer, "retry-after", &seconds.to_string());
+        }
         return answer;
     }
     if let Some(EngineFault::Slow(millis)) = fault {
