Cut streams by their events, and let no broken answer look whole

Could happen here, each shown by a test that failed first: - a stream of events without a length whose connection ended in the middle of an event was passed on as whole; - a stream that broke off looked whole to a caller of HTTP/1.0, for whom the end of the connection is the end: such callers now get streams whole, or 502; - a stream that dripped bytes without an event was waited for until its deadline (now as one that is silent); - a slow stream was cut after 1.5 s also where its route allows longer pauses (now five times the allowed pause, 1.5 s at least, the same as before on all sheets at hand); - a caller that did not read held its runner for as long as it liked (now until the deadline).

Could not: answers cut within a length, a chunk or by a reset, and second answers that come late, as a connection to an upstream carries one call.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use dotterellane_units::{ClockInstant, TeamId, TokenCount};
 use http::header::{CONNECTION, HOST};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -15,6 +15,7 @@
 use crate::call::{CallHead, ModelChoice};
 use crate::dispatch::{ChoiceTrace, dispatch};
 use crate::document::{CallerLimits, HostRoute};
+use crate::exchange::MAX_WHOLE_BYTES;
 use crate::refusal::GatewayRefusal;
 use crate::state::{Host, HostState};
 
@@ -62,6 +63,7 @@
 pub async fn answer(host: Arc<Host>, request: Request<Incoming>) -> Response<GatewayBody> {
     let arrived = host.now();
     let (parts, body) = request.into_parts();
+    let version = parts.version;
     let head = (host.wire.call)(&parts.headers);
     let named = parts.uri.host().map(str::to_owned).or_else(|| {
         parts.headers.get(HOST).and_then(|value| value.to_str().ok()).map(str::to_owned)
@@ -95,6 +97,10 @@
                 Err(refusal) => Err(refusal),
                 Ok(admission) => serve(&host, &call, admission).await,
             };
+            let answered = match answered {
+                Ok(response) if version < Version::HTTP_11 => gather(response).await,
+                answered => answered,
+            };
             finish(&host, &call, answered)
         }
     }
@@ -112,6 +118,15 @@
     }
 }
 
+/// Reads an answer whole before its caller gets any of it: the end of a connection is all by which an
+/// older protocol shows the end of a stream, also of one that broke off.
+async fn gather(response: Response<GatewayBody>) -> Result<Response<GatewayBody>, GatewayRefusal> {
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_WHOLE_BYTES).collect().await;
+    let body = body.map_err(|_broken| GatewayRefusal::upstream_failed("answer_broken"))?;
+    Ok(Response::from_parts(head, GatewayBody::whole(body.to_bytes())))
+}
+
 /// Tells the caller to send nothing more on this connection.
 fn close_after(response: &mut Response<GatewayBody>) {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -7,6 +7,33 @@
 /// Longest event that is held back until it is whole, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// The last bytes of a stream.
+#[derive(Clone, Debug, Default)]
+pub struct EventTail {
+    /// Line ends since the last byte of a line.
+    line_ends: usize,
+    begun: bool,
+}
+
+impl EventTail {
+    /// Takes in data.
+    pub fn push(&mut self, data: &[u8]) {
+        for byte in data {
+            match byte {
+                b'\n' => self.line_ends += 1,
+                b'\r' => {}
+                _ => self.line_ends = 0,
+            }
+        }
+        self.begun |= !data.is_empty();
+    }
+
+    /// Tells whether the stream has not begun or its last event ended.
+    pub fn is_between_events(&self) -> bool {
+        !self.begun || self.line_ends >= 2
+    }
+}
+
 /// Where another runner has to go on.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub enum ResumePoint {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::Response;
-use http::header::CONTENT_ENCODING;
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -16,14 +15,17 @@
 use crate::crashes::report_break;
 use crate::dispatch::{FoundPlace, Journey, SendEnd, find_place, send};
 use crate::document::CallKind;
-use crate::events::{EventCutter, ResumePoint};
+use crate::events::{EventCutter, EventTail, ResumePoint};
 use crate::state::Host;
 
 /// Pieces that may wait for a caller that reads slowly.
 const QUEUED_PIECES: usize = 8;
 
-/// Time without an event after which another runner is asked to go on.
-const EVENT_GAP: Duration = Duration::from_millis(1_500);
+/// Shortest time without an event after which another runner is asked to go on.
+const LEAST_STALL: Duration = Duration::from_millis(1_500);
+
+/// Allowed pauses between events after which another runner is asked to go on.
+const STALL_GAPS: u32 = 5;
 
 /// Time beyond the deadline in which a stream that still flows may end.
 const DEADLINE_GRACE: Duration = Duration::from_millis(250);
@@ -76,6 +78,14 @@
     response
 }
 
+/// Tells whether only the end of an event shows that an answer is whole: one of events that ends with
+/// its connection does so also when its upstream crashes.
+fn ends_with_event(headers: &HeaderMap) -> bool {
+    let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let kind = headers.get(CONTENT_TYPE).map_or(&b""[..], HeaderValue::as_bytes);
+    !framed && kind.starts_with(b"text/event-stream")
+}
+
 impl StreamRelay {
     async fn run(mut self, place: FoundPlace, head: Response<Incoming>) {
         let mut leg = Some((place, head));
@@ -132,36 +142,52 @@
             return LegEnd::Broken("the stream is encoded although that was not asked for".into());
         }
         let resumable = self.admission.route.kind == CallKind::ResumableStream;
+        let ends_with_event = ends_with_event(head.headers());
+        let mut tail = EventTail::default();
         let mut body = head.into_body();
+        let end = self.journey.deadline + DEADLINE_GRACE;
+        let longest = LEAST_STALL.max(self.admission.route.event_gap * STALL_GAPS);
+        // Bytes that complete no event do not count: a runner that stalls may go on dripping them.
+        let mut last_event = self.host.now();
         loop {
-            let left = (self.journey.deadline + DEADLINE_GRACE).since(self.host.now());
-            let gap = if resumable { EVENT_GAP.min(left) } else { left };
+            let now = self.host.now();
+            let left = end.since(now);
+            let stall = (last_event + longest).since(now);
+            let gap = if resumable { stall.min(left) } else { left };
             let frame = tokio::select! {
                 frame = timeout(gap, body.frame()) => frame,
                 () = self.pieces.closed() => return LegEnd::CallerLeft,
             };
             let data = match frame {
                 Err(_elapsed) if gap == left => return LegEnd::Late,
-                Err(_elapsed) => return LegEnd::Broken(format!("silent for {gap:?}")),
+                Err(_elapsed) => return LegEnd::Broken(format!("no event for {longest:?}")),
+                Ok(None) if ends_with_event && !tail.is_between_events() => {
+                    return LegEnd::Broken("the connection ended in the middle of an event".into());
+                }
                 Ok(None) => return LegEnd::Whole,
                 Ok(Some(Err(error))) => return LegEnd::Broken(error.to_string()),
                 // Trailers are of no use to callers.
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
+            if ends_with_event {
+                tail.push(&data);
+            }
             let events = if resumable { self.cutter.push(&data) } else { data };
             if self.cutter.is_overlong() {
                 return LegEnd::Broken("an event is too long".into());
             }
-            if !events.is_empty() && self.pass_on(events).await.is_none() {
-                return LegEnd::CallerLeft;
+            if events.is_empty() {
+                continue;
+            }
+            // A caller that does not read holds its runner until the deadline at most.
+            match timeout(end.since(self.host.now()), self.pieces.send(Ok(events))).await {
+                Ok(Ok(())) => last_event = self.host.now(),
+                Ok(Err(_closed)) => return LegEnd::CallerLeft,
+                Err(_elapsed) => return LegEnd::Late,
             }
         }
     }
 
-    async fn pass_on(&mut self, events: Bytes) -> Option<()> {
-        self.pieces.send(Ok(events)).await.ok()
-    }
-
     /// Finds another runner that goes on after the last event that the caller has.
     async fn go_on(&mut self) -> Option<(FoundPlace, Response<Incoming>)> {
         self.cutter.discard();
