Let the keeper grant what teams spend, so that the sum is safe at each size

Cause: each host spent a team's whole level until it heard what the others had spent. Ruled out: a larger reserve (grows with the fleet, refuses teams inside their rate); the ledgers of decisions/shares (need members and slots in the table); even parts of the rate (a small team's part is less than one request at 195 hosts).

Change: the keeper, alone by its lease, grants tokens on request and counts them at once; others may take a quarter of a level unasked, by their part of what was spent of late; without a keeper, each its part of the whole level. Reports settle grants, lost grants expire.

--- a/crates/decisions/tests/beat_pace.rs
+++ b/crates/decisions/tests/beat_pace.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dotterellane_decisions::beat_pace::BeatPace;
-use dotterellane_decisions::team_levels::{TeamLevels, TeamLimit};
+use dotterellane_decisions::team_levels::{ChargeOutcome, GrantSource, TeamLevels, TeamLimit};
 use dotterellane_units::{ClockInstant, HostId, HostIncarnation, TeamId, TokenCount};
 use googletest::prelude::*;
 
@@ -54,7 +54,8 @@
             let at = now + pace.longest.mul_f64(index as f64 / hosts as f64);
             // Each spends ten tokens once; every second of its beats is lost.
             if beat == 1 {
-                other.charge(at, &team, TokenCount(10)).expect("below the limit");
+                let charged = other.charge(at, &team, TokenCount(10), GrantSource::Nobody);
+                expect_that!(charged, eq(ChargeOutcome::Taken));
             }
             if beat == 0 || (beat + index) % 2 == 0 {
                 let report = other.report(at, beat == 0);
--- /dev/null
+++ b/crates/decisions/tests/hot_team.rs
@@ -0,0 +1,200 @@
+//! A hot team at fleets of several sizes: what all hosts together let it spend, and what teams
+//! beside it that stay inside their rate are refused.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use dotterellane_decisions::beat_pace::BeatPace;
+use dotterellane_decisions::team_levels::{
+    ChargeOutcome, GrantSource, LimitTolerance, TeamLevels, TeamLimit,
+};
+use dotterellane_units::{ClockInstant, HostId, HostIncarnation, TeamId, TokenCount};
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Window over which the users count, and what they allow in it beyond the limit.
+const WINDOW: Duration = Duration::from_secs(8);
+const TOLERANCE: LimitTolerance = LimitTolerance { excess: 0.1, slack: 11_000.0 };
+
+const STEP: Duration = Duration::from_millis(10);
+const DAY: Duration = Duration::from_secs(24);
+const HEATED: Duration = Duration::from_secs(6);
+const LOSS: f64 = 0.02;
+const COST: u64 = 2_000;
+
+/// A team: its limit and what it asks, as a part of its rate, before and after it turns hot.
+struct Team {
+    name: TeamId,
+    limit: TeamLimit,
+    load: f64,
+    hot_load: f64,
+}
+
+fn teams() -> Vec<Team> {
+    let team = |name: &str, rate: f64, load: f64, hot_load: f64| Team {
+        name: name.parse().expect("valid id"),
+        limit: TeamLimit { rate, burst: rate * 3.5 },
+        load,
+        hot_load,
+    };
+    vec![
+        team("hot", 100_000.0, 0.6, 8.0),
+        team("large", 120_000.0, 0.6, 0.6),
+        team("small", 6_000.0, 0.5, 0.5),
+    ]
+}
+
+struct Outcome {
+    /// Most tokens over what the users allow in a window, by team; negative if below.
+    over: BTreeMap<TeamId, f64>,
+    /// Requests and refusals by team.
+    asked: BTreeMap<TeamId, (u32, u32)>,
+}
+
+fn host(index: usize) -> HostId {
+    format!("host-{index}").parse().expect("valid id")
+}
+
+/// Charges one request at a host as the daemon does; `keeper` grants tokens, if there is one.
+fn charge(
+    hosts: &mut [TeamLevels],
+    at: usize,
+    keeper: Option<usize>,
+    now: ClockInstant,
+    team: &TeamId,
+) -> bool {
+    let source = match keeper {
+        Some(keeper) if keeper == at => GrantSource::Itself,
+        Some(_) => GrantSource::Keeper,
+        None => GrantSource::Nobody,
+    };
+    match hosts[at].charge(now, team, TokenCount(COST), source) {
+        ChargeOutcome::Taken => true,
+        ChargeOutcome::Over(_) => false,
+        ChargeOutcome::AskKeeper => {
+            let keeper = keeper.expect("a keeper to ask");
+            let asker = (&host(at), HostIncarnation(1));
+            let granted = hosts[keeper].grant(now, asker, team, TokenCount(COST)).is_ok();
+            if granted {
+                hosts[at].take_granted(now, team, TokenCount(COST));
+            }
+            granted
+        }
+    }
+}
+
+/// Plays a fleet of `count` hosts, of which some get many more requests than others. The first one is
+/// the keeper, but for the time of `gap`.
+fn play(count: usize, seed: u64, gap: Option<(Duration, Duration)>) -> Outcome {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let start = ClockInstant::from_millis(1_000_000);
+    let teams = teams();
+    let mut hosts: Vec<TeamLevels> = (0..count)
+        .map(|_| {
+            let mut levels = TeamLevels::new(start, true);
+            levels.set_limits(
+                start,
+                teams.iter().map(|team| (team.name.clone(), team.limit.lent(TOLERANCE))),
+            );
+            levels
+        })
+        .collect();
+    let pace = BeatPace::of(count - 1);
+    let mut beats: Vec<(ClockInstant, u32)> =
+        (0..count).map(|_| (start + pace.longest.mul_f64(random.random()), 0)).collect();
+    let weights: Vec<f64> = (0..count).map(|_| random.random::<f64>().powi(3) + 0.02).collect();
+    let total: f64 = weights.iter().sum();
+    let pick = |random: &mut Pcg64Mcg| {
+        let mut left = random.random::<f64>() * total;
+        weights
+            .iter()
+            .position(|weight| {
+                left -= weight;
+                left < 0.0
+            })
+            .unwrap_or(0)
+    };
+    let mut spent: BTreeMap<TeamId, VecDeque<(ClockInstant, u64)>> = BTreeMap::new();
+    let mut outcome = Outcome { over: BTreeMap::new(), asked: BTreeMap::new() };
+    let mut now = start;
+    while now.since(start) < DAY {
+        let lost = gap.is_some_and(|(from, to)| (from..to).contains(&now.since(start)));
+        let keeper = (!lost).then_some(0);
+        for team in &teams {
+            let load = if now.since(start) > HEATED { team.hot_load } else { team.load };
+            let mut expected = team.limit.rate * load * STEP.as_secs_f64() / COST as f64;
+            while expected > 0.0 {
+                if random.random::<f64>() < expected {
+                    let at = pick(&mut random);
+                    let entry = outcome.asked.entry(team.name.clone()).or_default();
+                    entry.0 += 1;
+                    if charge(&mut hosts, at, keeper, now, &team.name) {
+                        spent.entry(team.name.clone()).or_default().push_back((now, COST));
+                    } else {
+                        entry.1 += 1;
+                    }
+                }
+                expected -= 1.0;
+            }
+            let window = spent.entry(team.name.clone()).or_default();
+            while window.front().is_some_and(|(at, _)| now.since(*at) > WINDOW) {
+                window.pop_front();
+            }
+            let sum: u64 = window.iter().map(|(_, tokens)| tokens).sum();
+            let allowed = (team.limit.rate * WINDOW.as_secs_f64() + team.limit.burst)
+                * (1.0 + TOLERANCE.excess)
+                + TOLERANCE.slack;
+            let over = outcome.over.entry(team.name.clone()).or_insert(f64::MIN);
+            *over = over.max(sum as f64 - allowed);
+        }
+        for from in 0..count {
+            let (due, number) = beats[from];
+            if due > now {
+                continue;
+            }
+            let report = hosts[from].report(now, number % 8 == 0);
+            beats[from] = (now + pace.longest, number + 1);
+            for (to, levels) in hosts.iter_mut().enumerate() {
+                if to != from && !random.random_bool(LOSS) {
+                    levels.absorb(now, &host(from), HostIncarnation(1), &report, false);
+                }
+            }
+        }
+        now = now + STEP;
+    }
+    outcome
+}
+
+#[gtest]
+fn hot_team_stays_within_its_limit_and_others_get_theirs_at_each_size() {
+    judge(None, 0.0);
+}
+
+#[gtest]
+fn hot_team_stays_within_its_limit_while_nobody_keeps() {
+    // As it turns hot, and while it is.
+    for lost in [6, 10] {
+        judge(Some((Duration::from_secs(lost), Duration::from_secs(lost + 4))), 0.05);
+    }
+}
+
+/// Plays each size; no team may be over its limit, and those inside their rate may be refused the
+/// part `refusals` of their requests.
+fn judge(gap: Option<(Duration, Duration)>, refusals: f64) {
+    for count in [6, 77, 195, 300] {
+        let outcome = play(count, 7, gap);
+        for (team, over) in &outcome.over {
+            let (asked, refused) = outcome.asked[team];
+            println!("{count} hosts, {team}: {over:.0} over, {refused} of {asked} refused");
+            expect_that!(*over, le(0.0), "{count} hosts, {team}");
+            if team.as_str() != "hot" {
+                expect_that!(
+                    f64::from(refused),
+                    le(f64::from(asked) * refusals),
+                    "{count}, {team}"
+                );
+            }
+        }
+    }
+}
--- a/crates/decisions/tests/team_levels.rs
+++ b/crates/decisions/tests/team_levels.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use dotterellane_decisions::team_levels::{PEER_MEMORY, TeamLevels, TeamLimit};
+use dotterellane_decisions::team_levels::{
+    ChargeOutcome, GrantSource, PEER_MEMORY, TeamLevels, TeamLimit,
+};
 use dotterellane_units::{ClockInstant, HostId, HostIncarnation, TeamId, TokenCount};
 use googletest::prelude::*;
 
@@ -27,6 +29,19 @@
     levels
 }
 
+/// Charges a host that hears no keeper.
+fn charge_alone(
+    levels: &mut TeamLevels,
+    now: ClockInstant,
+    tokens: u64,
+) -> std::result::Result<(), Duration> {
+    match levels.charge(now, &team(), TokenCount(tokens), GrantSource::Nobody) {
+        ChargeOutcome::Taken => Ok(()),
+        ChargeOutcome::Over(wait) => Err(wait),
+        ChargeOutcome::AskKeeper => panic!("there is no keeper to ask"),
+    }
+}
+
 /// Several hosts whose reports reach those that `hears` allows.
 struct Fleet {
     hosts: Vec<TeamLevels>,
@@ -70,7 +85,7 @@
     fn spend_all(&mut self, now: ClockInstant, piece: u64) -> u64 {
         let mut spent = 0;
         for levels in &mut self.hosts {
-            while levels.charge(now, &team(), TokenCount(piece)).is_ok() {
+            while charge_alone(levels, now, piece).is_ok() {
                 spent += piece;
             }
         }
@@ -81,9 +96,9 @@
 #[gtest]
 fn levels_spent_on_one_host_are_missing_on_another() {
     let mut fleet = Fleet::new(2, at(0));
-    expect_that!(fleet.hosts[0].charge(at(0), &team(), TokenCount(900)), ok(anything()));
+    expect_that!(charge_alone(&mut fleet.hosts[0], at(0), 900), ok(anything()));
     fleet.report(at(10), &[], |_, _| true);
-    expect_that!(fleet.hosts[1].charge(at(10), &team(), TokenCount(900)), err(anything()));
+    expect_that!(charge_alone(&mut fleet.hosts[1], at(10), 900), err(anything()));
 }
 
 #[gtest]
@@ -93,7 +108,7 @@
     let limit = TeamLimit { rate: RATE, burst: RATE };
     levels.set_limits(at(0), [(team(), limit), (other.clone(), limit)]);
     expect_that!(levels.report(at(0), false).teams, is_empty());
-    expect_that!(levels.charge(at(0), &team(), TokenCount(10)), ok(anything()));
+    expect_that!(charge_alone(&mut levels, at(0), 10), ok(anything()));
     let names = |levels: &mut TeamLevels, now, whole| {
         let report = levels.report(now, whole);
         report.teams.into_iter().map(|spending| spending.team).collect::<Vec<_>>()
@@ -108,16 +123,16 @@
 #[gtest]
 fn levels_are_learnt_from_the_first_whole_report() {
     let mut old = levels(at(0), true);
-    expect_that!(old.charge(at(0), &team(), TokenCount(900)), ok(anything()));
+    expect_that!(charge_alone(&mut old, at(0), 900), ok(anything()));
     let mut young = levels(at(1), false);
     let report = |old: &mut TeamLevels, whole| old.report(at(1), whole);
     let incarnation = HostIncarnation(1);
     young.absorb(at(1), &host(0), incarnation, &report(&mut old, false), false);
     // A quarter of the burst is what a host counts on that has heard nothing.
-    expect_that!(young.charge(at(1), &team(), TokenCount(200)), ok(anything()));
+    expect_that!(charge_alone(&mut young, at(1), 200), ok(anything()));
     young.refund(at(1), &team(), TokenCount(200));
     young.absorb(at(1), &host(0), incarnation, &report(&mut old, true), false);
-    expect_that!(young.charge(at(1), &team(), TokenCount(200)), err(anything()));
+    expect_that!(charge_alone(&mut young, at(1), 200), err(anything()));
 }
 
 #[gtest]
@@ -139,7 +154,7 @@
     let mut fleet = Fleet::new(9, at(0));
     for step in 0..100 {
         let now = at(step * 100);
-        let charged = fleet.hosts[4].charge(now, &team(), TokenCount(90));
+        let charged = charge_alone(&mut fleet.hosts[4], now, 90);
         expect_that!(charged, ok(anything()), "at step {step}");
         fleet.report(now, &[], |_, _| true);
     }
@@ -165,11 +180,11 @@
 #[gtest]
 fn levels_leaving_host_that_reports_on_is_charged_once() {
     let mut fleet = Fleet::new(2, at(0));
-    expect_that!(fleet.hosts[0].charge(at(0), &team(), TokenCount(600)), ok(anything()));
+    expect_that!(charge_alone(&mut fleet.hosts[0], at(0), 600), ok(anything()));
     for step in 0..30 {
         fleet.report(at(step * 100), &[0], |_, _| true);
     }
-    expect_that!(fleet.hosts[1].charge(at(3_000), &team(), TokenCount(900)), ok(anything()));
+    expect_that!(charge_alone(&mut fleet.hosts[1], at(3_000), 900), ok(anything()));
 }
 
 #[gtest]
@@ -183,12 +198,12 @@
 #[gtest]
 fn levels_peer_back_after_a_long_silence_is_charged_once() {
     let mut fleet = Fleet::new(2, at(0));
-    expect_that!(fleet.hosts[0].charge(at(0), &team(), TokenCount(600)), ok(anything()));
+    expect_that!(charge_alone(&mut fleet.hosts[0], at(0), 600), ok(anything()));
     fleet.report(at(10), &[], |_, _| true);
     let later = at(10) + PEER_MEMORY + PEER_MEMORY;
     fleet.report(later, &[], |_, _| true);
     fleet.report(later + BEAT, &[], |_, _| true);
-    let charged = fleet.hosts[1].charge(later + BEAT, &team(), TokenCount(900));
+    let charged = charge_alone(&mut fleet.hosts[1], later + BEAT, 900);
     expect_that!(charged, ok(anything()));
 }
 
@@ -198,21 +213,21 @@
     fleet.report(at(0), &[], |_, _| true);
     fleet.restart(0, at(500));
     fleet.report(at(510), &[], |_, _| true);
-    expect_that!(fleet.hosts[0].charge(at(510), &team(), TokenCount(900)), ok(anything()));
-    expect_that!(levels(at(0), false).charge(at(0), &team(), TokenCount(900)), err(anything()));
+    expect_that!(charge_alone(&mut fleet.hosts[0], at(510), 900), ok(anything()));
+    expect_that!(charge_alone(&mut levels(at(0), false), at(0), 900), err(anything()));
 }
 
 #[gtest]
 fn levels_request_above_the_burst_passes_when_full_and_is_paid_off() {
     let mut levels = levels(at(0), true);
-    expect_that!(levels.charge(at(0), &team(), TokenCount(3_000)), ok(anything()));
-    expect_that!(levels.charge(at(1_900), &team(), TokenCount(1)), err(anything()));
-    expect_that!(levels.charge(at(2_100), &team(), TokenCount(1)), ok(anything()));
+    expect_that!(charge_alone(&mut levels, at(0), 3_000), ok(anything()));
+    expect_that!(charge_alone(&mut levels, at(1_900), 1), err(anything()));
+    expect_that!(charge_alone(&mut levels, at(2_100), 1), ok(anything()));
 }
 
 #[gtest]
 fn levels_without_a_limit_never_refuse() {
     let mut levels = TeamLevels::new(at(0), false);
     levels.set_limits(at(0), [(team(), TeamLimit { rate: 0.0, burst: 0.0 })]);
-    expect_that!(levels.charge(at(0), &team(), TokenCount(1 << 40)), ok(anything()));
+    expect_that!(charge_alone(&mut levels, at(0), 1 << 40), ok(anything()));
 }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -17,14 +17,12 @@
 use crate::document::{CallerLimits, HostRoute};
 use crate::exchange::MAX_WHOLE_BYTES;
 use crate::refusal::GatewayRefusal;
+use crate::spending::charge;
 use crate::state::{Host, HostState};
 
 /// When a caller should come back to a host that lost sight of the configuration.
 const STALE_RETRY: Duration = Duration::from_millis(400);
 
-/// Longest wait told to a team that is over its rate.
-const LONGEST_RETRY: Duration = Duration::from_secs(5);
-
 /// A request that was read whole.
 #[derive(Debug)]
 pub struct GatewayCall {
@@ -138,7 +136,7 @@
     admission: Admission,
 ) -> Result<Response<GatewayBody>, GatewayRefusal> {
     if let Some((team, _)) = &admission.team {
-        charge(host, team, admission.cost)?;
+        charge(host, team, admission.cost).await?;
     }
     let (team, cost) = (admission.team.clone(), admission.cost);
     let answered = dispatch(host, call, admission).await;
@@ -150,14 +148,6 @@
     answered
 }
 
-fn charge(host: &Host, team: &TeamId, cost: TokenCount) -> Result<(), GatewayRefusal> {
-    let mut state = host.state();
-    let charged = state.levels.charge(host.now(), team, cost);
-    drop(state);
-    host.spending_changed.notify_one();
-    charged.map_err(|wait| GatewayRefusal::over_rate(wait.min(LONGEST_RETRY)))
-}
-
 /// Returns what the newest configuration says of a request.
 ///
 /// # Errors
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod run;
 pub mod server;
 pub mod settings;
+pub mod spending;
 pub mod state;
 
 pub use run::{RunError, run};
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -1,13 +1,15 @@
 //! Datagrams between daemons.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use dotterellane_decisions::leaving_marks::LeavingMark;
 use dotterellane_decisions::quarantine::{CrashReport, RememberedCrash};
 use dotterellane_decisions::team_levels::SpendingReport;
 use dotterellane_decisions::weight_plan::{HeldModel, HostDemand};
 use dotterellane_units::{
-    FenceNumber, HostId, HostIncarnation, RowVersion, ServiceId, StoreInstant, UpstreamId,
+    FenceNumber, HostId, HostIncarnation, RowVersion, ServiceId, StoreInstant, TeamId, TokenCount,
+    UpstreamId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +42,34 @@
     Crash(CrashReport),
     /// Sent to a host that was not heard before: a crash from which a request is quarantined.
     PastCrash(RememberedCrash),
+    /// Sent to the keeper: a request needs tokens of a team.
+    GrantRequest(GrantRequest),
+    /// Sent by the keeper: the answer to the request for tokens with this number.
+    GrantAnswer(u64, GrantAnswer),
+}
+
+/// A question to the keeper for tokens of a team.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct GrantRequest {
+    /// Drawn at random; the same if the question is put again.
+    pub number: u64,
+    /// Team that pays.
+    pub team: TeamId,
+    /// Tokens that are needed.
+    pub tokens: TokenCount,
+}
+
+/// What the keeper says to a request for tokens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum GrantAnswer {
+    /// The tokens may be spent.
+    Granted,
+    /// The team is over its rate for this time.
+    Over(Duration),
+    /// The host that was asked is not the keeper.
+    NotKeeper,
 }
 
 /// Signs of life and what the host spent.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,8 @@
     pub answers: IntCounterVec,
     /// Sends to upstreams by how they ended.
     pub sends: IntCounterVec,
+    /// Answers of the keeper to requests for tokens.
+    pub grants: IntCounterVec,
     /// What upstreams said of themselves in answers.
     pub notices: IntCounterVec,
     /// Orders to runners by kind, tier and outcome.
@@ -65,6 +67,11 @@
                 "Requests sent to upstreams.",
                 &["outcome"],
             )?,
+            grants: counter(
+                "dotterellane_grants_total",
+                "Requests for tokens by what the keeper answered.",
+                &["answer"],
+            )?,
             notices: counter(
                 "dotterellane_upstream_notices_total",
                 "Upstreams that said that they leave or want a pause.",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,6 +17,7 @@
 use crate::keeper;
 use crate::messages::{HostBeat, MAX_DATAGRAM_BYTES, PeerDatagram, PeerNote};
 use crate::notices;
+use crate::spending;
 use crate::state::{Host, KnownKeeper, KnownPeer};
 
 /// Beats between two that introduce.
@@ -212,6 +213,10 @@
         PeerNote::Holdings(fence, holdings) => keeper::adopt_holdings(host, fence, holdings),
         PeerNote::Crash(report) => crashes::absorb(host, &report),
         PeerNote::PastCrash(crash) => crashes::absorb_past(host, &crash),
+        PeerNote::GrantRequest(request) => {
+            spending::on_request(host, &from, incarnation, &request);
+        }
+        PeerNote::GrantAnswer(number, answer) => spending::on_answer(host, number, answer),
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use crate::messages::{KeeperMark, StoreSighting};
 use crate::metrics::GatewayMetrics;
 use crate::settings::{HostSettings, HostTuning};
+use crate::spending::GrantDesk;
 
 /// What the platform offers the daemon.
 #[derive(Clone, Debug)]
@@ -155,6 +156,8 @@
     pub socket: UdpSocket,
     /// What this host knows as keeper or candidate.
     pub desk: SharedDesk,
+    /// Tokens asked for and granted.
+    pub grants: GrantDesk,
     state: Mutex<HostState>,
 }
 
@@ -195,6 +198,7 @@
         Ok(Self {
             socket,
             desk,
+            grants: GrantDesk::default(),
             settings,
             incarnation,
             wire,
