Answer what is accepted until the last moment of a planned stop

Cause, shown by a test that hammers a daemon through its stop (8 of some 1,500 requests cut off without an answer): connections that waited to be accepted were reset when listening ended 2.6 s after the stop was asked for, and ones just accepted were closed with their first request in the buffer. Change: connections are accepted until all is done; after the balancer's lag requests are refused at once, not run, with the time to come back; what waits when the socket closes is served first, and a new connection has 0.5 s for its first request. Bodies half sent when the stop is asked for were answered before, too.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -80,7 +80,12 @@
     };
     let (admitted, limits) = {
         let state = host.state();
-        (admit(&host, &state, &call), state.caller_limits())
+        let admitted = if host.closing.is_cancelled() {
+            Err(GatewayRefusal::leaving())
+        } else {
+            admit(&host, &state, &call)
+        };
+        (admitted, state.caller_limits())
     };
     match read_body(body, limits).await {
         Err(refusal) => {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -45,9 +45,6 @@
 /// Time for which requests still wait for a model after the daemon was asked to stop.
 const LEAVING_WAIT: Duration = Duration::from_millis(1_500);
 
-/// When a caller should come back, to another host, after this one was asked to stop.
-const LEAVING_RETRY: Duration = Duration::from_millis(50);
-
 /// Most sends of one request, those included that an upstream did not take.
 const MOST_SENDS: u32 = 8;
 
@@ -287,7 +284,7 @@
         };
         let left_at = host.state().left;
         if left_at.is_some_and(|at| host.now().since(at) > LEAVING_WAIT) {
-            return Err(GatewayRefusal::not_run("leaving", LEAVING_RETRY));
+            return Err(GatewayRefusal::leaving());
         }
         let longest = admission.route.patience().mul_f64(WAITING_PART);
         if let Some(pause) = pause_beyond(host, call, journey, started + longest) {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -8,6 +8,9 @@
 
 use crate::body::GatewayBody;
 
+/// When a caller should come back, to another host, after this one was asked to stop.
+const LEAVING_RETRY: Duration = Duration::from_millis(50);
+
 /// An answer that the gateway gives itself, and why.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct GatewayRefusal {
@@ -30,6 +33,11 @@
         Self { status: StatusCode::SERVICE_UNAVAILABLE, reason, retry_after: Some(retry_after) }
     }
 
+    /// Nothing was run, as this host leaves; another one may serve the caller.
+    pub const fn leaving() -> Self {
+        Self::not_run("leaving", LEAVING_RETRY)
+    }
+
     /// The team is over its rate until the tokens are there.
     pub const fn over_rate(retry_after: Duration) -> Self {
         Self {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::call::WireFormat;
@@ -21,6 +22,9 @@
 /// Time before the end of the shutdown at which what still runs is left.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time that requests have that came at the last moment; part of the margin.
+const LAST_REQUESTS: Duration = Duration::from_millis(200);
+
 /// Time that the last log lines have to get out.
 const LAST_LINES: Duration = Duration::from_millis(20);
 
@@ -113,14 +117,14 @@
     tokio::spawn(keeper::carry_out_plans(host.clone()));
     tokio::spawn(server::serve_status(status, host.clone()));
     tokio::spawn(server::serve_status(metrics, host.clone()));
-    tokio::spawn(server::serve_callers(callers, host.clone()));
+    let accepting = tokio::spawn(server::serve_callers(callers, host.clone()));
     tokio::spawn(watch_settings(host.clone(), settings_file, hang_up));
     stop.recv().await;
-    leave(&host).await;
+    leave(&host, accepting).await;
     Ok(())
 }
 
-async fn leave(host: &Arc<Host>) {
+async fn leave(host: &Arc<Host>, accepting: JoinHandle<()>) {
     spdlog::info!("daemon is asked to stop", kv: { host = host.settings.host.as_str() });
     let started = host.now();
     let grace = {
@@ -139,6 +143,15 @@
     host.tasks.close();
     let left = grace.saturating_sub(host.now().since(started)).saturating_sub(SHUTDOWN_MARGIN);
     let whole = timeout(left, host.tasks.wait()).await.is_ok();
+    host.closed.cancel();
+    let last = async {
+        if let Err(error) = accepting.await {
+            let cause = error.to_string();
+            spdlog::error!("callers were no longer accepted", kv: { cause = cause.as_str() });
+        }
+        host.tasks.wait().await;
+    };
+    let whole = timeout(LAST_REQUESTS, last).await.is_ok() && whole;
     spdlog::info!("daemon stops", kv: {
         host = host.settings.host.as_str(),
         all_answered = whole,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use dotterellane_upstream::connect::bound_silence;
 use dotterellane_upstream::lingering::LingeringStream;
+use futures::FutureExt;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -16,6 +17,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::answer::answer;
 use crate::document::DEFAULT_IDLE;
@@ -24,20 +27,23 @@
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time within which a caller sends its first request on a connection, when connections are closed.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
+
 /// Smallest read buffer that the HTTP library allows, in bytes.
 const LEAST_HEAD_BYTES: usize = 8 * 1024;
 
-/// Serves callers until connections are to be closed.
+/// Serves callers until no more connections are to be accepted.
 pub async fn serve_callers(listener: TcpListener, host: Arc<Host>) {
+    let serve = |stream| host.tasks.spawn(serve_caller(stream, host.clone()));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = host.closing.cancelled() => return,
+            () = host.closed.cancelled() => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                let serving = serve_caller(stream, host.clone());
-                host.tasks.spawn(serving);
+                serve(stream);
             }
             Err(error) => {
                 spdlog::warn!("accept failed", kv: { cause = error.to_string().as_str() });
@@ -45,6 +51,10 @@
             }
         }
     }
+    // Closing the socket resets connections that wait to be accepted.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        serve(stream);
+    }
 }
 
 async fn serve_caller(stream: TcpStream, host: Arc<Host>) {
@@ -55,7 +65,9 @@
         return;
     }
     let limits = host.state().caller_limits();
+    let asked = Notify::new();
     let service = service_fn(|request: Request<Incoming>| {
+        asked.notify_one();
         // The connection keeps this future for its life; what it needs until the answer must not stay.
         let answering = Box::pin(answer(host.clone(), request));
         async move { Ok::<_, Infallible>(answering.await) }
@@ -70,8 +82,14 @@
     // A connection that breaks is its caller's matter; holds are released by their drop.
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = host.closing.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = host.closing.cancelled() => {}
+    }
+    // One that was just opened has a request under way.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = timeout(FIRST_REQUEST_WAIT, asked.notified()) => {}
     }
+    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -148,8 +148,10 @@
     pub plan_wanted: Notify,
     /// Cancelled when the daemon is asked to stop.
     pub leaving: CancellationToken,
-    /// Cancelled when kept connections are to be closed.
+    /// Cancelled when kept connections are to be closed; requests that still come are refused.
     pub closing: CancellationToken,
+    /// Cancelled when no more connections are to be accepted.
+    pub closed: CancellationToken,
     /// Connections and streams that are served.
     pub tasks: TaskTracker,
     /// Socket of datagrams.
@@ -213,6 +215,7 @@
             plan_wanted: Notify::new(),
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
+            closed: CancellationToken::new(),
             tasks: TaskTracker::new(),
             state: Mutex::new(state),
         })
