--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -21,6 +21,9 @@
 /// Time between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(5);
 
+/// Time between two bytes of a stream that drips.
+const DRIP_PAUSE: Duration = Duration::from_millis(200);
+
 /// What goes wrong with one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EngineFault {
@@ -36,6 +39,8 @@
     Fails,
     /// It takes this long, in milliseconds.
     Slow(u64),
+    /// Its stream stalls after the first event and drips bytes that complete no other.
+    Drips,
     /// It turns the request away and wants nothing from its sender for this long, in milliseconds.
     TurnsAway(u64),
 }
@@ -59,6 +64,17 @@
     pub at: Instant,
 }
 
+/// A request that the runner turned away, naming a time for which it wants nothing.
+#[derive(Clone, Debug)]
+pub struct TurnedAway {
+    /// The caller's id.
+    pub id: String,
+    /// When it was turned away.
+    pub at: Instant,
+    /// Time for which the runner wants nothing from its sender.
+    pub pause: Duration,
+}
+
 /// Space for weights that a runner has.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineSpace {
@@ -101,6 +117,7 @@
     omits_ids: bool,
     /// Whether all its answers say that it leaves.
     leaving: bool,
+    turned_away: Vec<TurnedAway>,
     /// Path at which a request crashes the runner, and what ends its server.
     deadly: Option<(String, CancellationToken)>,
     fence: Option<(u64, String)>,
@@ -219,6 +236,11 @@
         lock(&self.state).leaving = leaving;
     }
 
+    /// Returns the requests that it turned away with a time.
+    pub fn turned_away(&self) -> Vec<TurnedAway> {
+        lock(&self.state).turned_away.clone()
+    }
+
     /// Starts it anew: it holds nothing but its disk, and knows nothing of before.
     pub fn restart(&self) {
         let mut state = lock(&self.state);
@@ -384,8 +406,10 @@
         let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
         set(&mut answer, "x-not-run", "1");
         if let Some(EngineFault::TurnsAway(millis)) = fault {
-            let seconds = Duration::from_millis(millis).as_secs_f64();
-            set(&mut answer, "retry-after", &seconds.to_string());
+            let pause = Duration::from_millis(millis);
+            set(&mut answer, "retry-after", &pause.as_secs_f64().to_string());
+            let turned_away = TurnedAway { id, at: Instant::now(), pause };
+            lock(&state).turned_away.push(turned_away);
         }
         return answer;
     }
@@ -404,7 +428,11 @@
                 Some(EngineFault::BreaksAt(number)) => Some(number),
                 _ => None,
             };
-            stream_answer(after, events, breaks, named)
+            if fault == Some(EngineFault::Drips) {
+                dripping_answer(after)
+            } else {
+                stream_answer(after, events, breaks, named)
+            }
         }
     };
     let echoed = if fault == Some(EngineFault::Foreign) { "another" } else { id.as_str() };
@@ -496,6 +524,19 @@
     answer
 }
 
+/// Returns a stream of one event that never ends.
+fn dripping_answer(after: u64) -> Response<AnswerBody> {
+    let first = stream::iter([event(after + 1, true)]);
+    let drops = stream::repeat(Bytes::from_static(b":")).then(|drop| async {
+        sleep(DRIP_PAUSE).await;
+        drop
+    });
+    let pieces = first.chain(drops).map(|piece| std::io::Result::Ok(Frame::data(piece)));
+    let mut answer = Response::new(StreamBody::new(pieces).boxed_unsync());
+    set(&mut answer, "content-type", "text/event-stream");
+    answer
+}
+
 fn broken_answer() -> Response<AnswerBody> {
     let pieces = stream::iter([Err(std::io::Error::other("lost"))]);
     let mut answer = Response::new(StreamBody::new(pieces).boxed_unsync());
