Let large hosts keep, and the keeper pass on changed rows: calls to the store at 195 hosts

Ruled out: lost datagrams (all hosts looked equally often) and upstreams out of reach (none). Besides, each change of the directory made each host look. Change: candidates are ranked by processor first; a keeper gives way to a host twice its size; after a keeper gave up, candidates come in their order (all came at once). The age at which a host looks itself follows the bounds for changes and leaving upstreams. The keeper passes on the rows that change who may get requests, with their versions.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod holdings_news;
 pub mod keep_alive;
 pub mod keeper;
+pub mod keeper_candidates;
 pub mod keeper_lease;
 pub mod leases;
 pub mod leaving_marks;
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -6,7 +6,7 @@
 use dotterellane_decisions::leaving_marks::{LeavingMark, LeavingMarks};
 use dotterellane_decisions::send_pauses::SendPauses;
 use dotterellane_decisions::weight_plan::HeldModel;
-use dotterellane_units::{ClockInstant, ServiceId, UpstreamId};
+use dotterellane_units::{ClockInstant, RowVersion, ServiceId, UpstreamId};
 
 use crate::call::{DirectoryEntry, ModelChoice};
 
@@ -31,6 +31,9 @@
 /// Time after the keeper told what an upstream holds in which rows do not overrule it.
 const KEEPER_MEMORY: Duration = Duration::from_millis(2_800);
 
+/// Time for which the version of a row that is gone is remembered.
+const VERSION_MEMORY: Duration = Duration::from_secs(60);
+
 /// Time for which an upstream is taken not to hold what it said that it does not hold.
 const MISS_PAUSE: Duration = Duration::from_millis(400);
 
@@ -84,6 +87,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     upstreams: BTreeMap<UpstreamId, KnownUpstream>,
+    /// Newest version of each row, and when it was seen; also of rows that are gone.
+    versions: BTreeMap<UpstreamId, (RowVersion, ClockInstant)>,
     /// Upstreams that said that they leave, whatever their rows say.
     leaving: LeavingMarks,
     /// Upstreams that want nothing from this host for a while.
@@ -91,6 +96,21 @@
 }
 
 impl Directory {
+    /// Notes the version of a row; tells whether none that is newer was seen. Rows come from the store and
+    /// from other hosts, so an older one may come later.
+    pub fn note_version(
+        &mut self,
+        now: ClockInstant,
+        name: &UpstreamId,
+        version: RowVersion,
+    ) -> bool {
+        if self.versions.get(name).is_some_and(|(known, _)| version < *known) {
+            return false;
+        }
+        self.versions.insert(name.clone(), (version, now));
+        true
+    }
+
     /// Takes in a row; a row that is older than what is known is left out. Tells whether it is used.
     pub fn put(&mut self, now: ClockInstant, name: UpstreamId, entry: DirectoryEntry) -> bool {
         let report = &entry.report;
@@ -140,6 +160,9 @@
     pub fn sweep(&mut self, now: ClockInstant) {
         self.upstreams.retain(|_, known| known.used_until.is_none_or(|until| now < until));
         self.leaving.sweep(now, |name| self.upstreams.contains_key(name));
+        self.versions.retain(|name, (_, seen)| {
+            now.since(*seen) < VERSION_MEMORY || self.upstreams.contains_key(name)
+        });
     }
 
     /// Notes that an upstream, started at `born` or later, said that it leaves. Tells whether that is
@@ -233,21 +256,28 @@
     /// Returns a digest of who may get requests and where, without what changes all the time.
     pub fn digest(&self) -> u64 {
         let mut hasher = blake3::Hasher::new();
-        let listed = self.upstreams.iter().filter(|(_, known)| known.used_until.is_none());
-        for (name, known) in listed {
-            let entry = &known.entry;
-            let (report, address) = (&entry.report, entry.address);
-            let text = format!(
-                "{name} {} {} {address} {} {} {}\n",
-                entry.service, entry.domain, entry.places, report.born, report.draining,
-            );
-            hasher.update(text.as_bytes());
+        for name in self.upstreams.keys() {
+            if let Some(standing) = self.standing(name) {
+                hasher.update(standing.as_bytes());
+            }
         }
         let mut digest = [0; 8];
         digest.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
         u64::from_le_bytes(digest)
     }
 
+    /// Returns what decides whether and where an upstream gets requests, as text; `None` if no row names
+    /// it.
+    pub fn standing(&self, name: &UpstreamId) -> Option<String> {
+        let known = self.upstreams.get(name).filter(|known| known.used_until.is_none())?;
+        let entry = &known.entry;
+        let (report, address) = (&entry.report, entry.address);
+        Some(format!(
+            "{name} {} {} {address} {} {} {}\n",
+            entry.service, entry.domain, entry.places, report.born, report.draining,
+        ))
+    }
+
     /// Returns one upstream.
     pub fn get(&self, name: &UpstreamId) -> Option<&KnownUpstream> {
         self.upstreams.get(name)
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -1,8 +1,9 @@
 //! Following the operators' configuration and the directory of upstreams.
 //!
 //! The keeper looks at the store all the time and tells the others what it saw and when, by the
-//! store's clock. The others look themselves when that differs from what they know, and when they have
-//! heard nothing for a while.
+//! store's clock, and passes on the rows of the directory that change who may get requests. The others
+//! look themselves when what it saw differs from what they know, and when they have heard nothing for a
+//! while.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -14,11 +15,19 @@
 use tokio::time::{sleep, timeout};
 
 use crate::keeper;
-use crate::messages::StoreSighting;
+use crate::messages::{DirectoryRow, PeerNote, StoreSighting};
+use crate::peers::send_to_all;
+use crate::settings::HostTuning;
 use crate::state::{Host, HostState};
 
-/// Age of what is known from which a host looks at the store itself.
-const LOOK_AGE: Duration = Duration::from_millis(1_200);
+/// Part of the time within which changes must be heeded after which a host looks at the store itself.
+const LOOK_PART: f64 = 0.6;
+
+/// The same of the time for which the configuration counts as the newest.
+const FRESH_LOOK_PART: f64 = 0.6;
+
+/// Rows of the directory that go into one datagram.
+const ROWS_A_DATAGRAM: usize = 8;
 
 /// Least time between the starts of two looks.
 const LEAST_LOOK_PAUSE: Duration = Duration::from_millis(100);
@@ -164,7 +173,15 @@
     if keeper::is_keeping(host) {
         return looked + KEEPER_PAUSE;
     }
-    host.state().evidence.map_or(looked, |seen| seen.max(looked)) + LOOK_AGE
+    let state = host.state();
+    state.evidence.map_or(looked, |seen| seen.max(looked)) + look_age(&state)
+}
+
+/// Returns the age of what is known from which a host looks at the store itself.
+fn look_age(state: &HostState) -> Duration {
+    let HostTuning { change_bound, leaving_bound, freshness, .. } = state.tuning;
+    let heeded = change_bound.min(leaving_bound).mul_f64(LOOK_PART);
+    heeded.min(freshness.mul_f64(FRESH_LOOK_PART))
 }
 
 /// Takes in a version; tells whether what is known is now the newest.
@@ -237,7 +254,7 @@
     let alone = !state.directory.unreachable(host.now()).is_empty();
     let known =
         if alone { looked } else { state.directory_seen.map_or(looked, |at| at.max(looked)) };
-    known + LOOK_AGE
+    known + look_age(&state)
 }
 
 /// Takes in what another host saw at the store; `state` is that of `host`.
@@ -264,64 +281,97 @@
     let FeedLook { started, batch, whole } = looked;
     let now = host.now();
     let mut state = host.state();
-    let before = state.directory.digest();
-    let trouble = state.store_trouble;
+    let mut changed = false;
     if whole {
         let listed: BTreeSet<&str> = batch.rows.iter().map(|row| row.key.as_str()).collect();
         let gone = state.directory.iter().map(|(name, _)| name.clone());
         let gone: Vec<UpstreamId> = gone.filter(|name| !listed.contains(name.as_str())).collect();
+        let trouble = state.store_trouble;
         for name in gone {
+            state.directory.note_version(now, &name, batch.version);
             state.directory.remove(now, &name, trouble);
+            changed = true;
         }
     }
-    for row in batch.rows {
-        let Ok(name) = row.key.parse::<UpstreamId>() else {
-            log_entry(&row.key, "its key is not an upstream's name");
-            continue;
-        };
-        let Some(value) = row.value else {
-            state.directory.remove(now, &name, trouble);
-            spdlog::info!("upstream left the directory", kv: {
-                upstream = name.as_str(),
-                used_on = state.directory.get(&name).is_some(),
-            });
-            continue;
-        };
-        match (host.wire.entry)(&value) {
-            Ok(entry) => {
-                let known = state
-                    .directory
-                    .get(&name)
-                    .map(|known| (known.entry.report.draining, known.entry.report.born));
-                let (draining, born) = (entry.report.draining, entry.report.born);
-                let service = entry.service.clone();
-                if state.directory.put(now, name.clone(), entry) && known != Some((draining, born))
-                {
-                    spdlog::info!("upstream in the directory", kv: {
-                        upstream = name.as_str(),
-                        service = service.as_str(),
-                        draining = draining,
-                        born = born,
-                    });
-                }
-            }
-            Err(error) => {
-                log_entry(&row.key, &error.to_string());
-                state.directory.remove(now, &name, None);
-            }
+    let mut news = Vec::new();
+    for FeedRow { key, version, value } in batch.rows {
+        let row = DirectoryRow { key, version, value };
+        if adopt_row(host, &mut state, now, &row) {
+            news.push(row);
         }
     }
     state.directory.sweep(now);
     state.directory_seen = state.directory_seen.max(Some(started));
-    let changed = state.directory.digest() != before;
     drop(state);
+    if !whole && keeper::is_keeping(host) {
+        for part in news.chunks(ROWS_A_DATAGRAM) {
+            send_to_all(host, &PeerNote::DirectoryRows(part.to_vec()));
+        }
+    }
+    on_directory(host, changed || !news.is_empty());
+}
+
+/// Takes in rows that the keeper saw. What it saw when comes with its beats.
+pub fn adopt_passed_rows(host: &Arc<Host>, rows: Vec<DirectoryRow>) {
+    let now = host.now();
+    let mut state = host.state();
+    let mut changed = false;
+    for row in rows {
+        changed |= adopt_row(host, &mut state, now, &row);
+    }
+    drop(state);
+    on_directory(host, changed);
+}
+
+fn on_directory(host: &Arc<Host>, changed: bool) {
     keeper::on_directory(host);
     host.holdings_changed.notify_waiters();
-    if changed {
+    if changed && keeper::is_keeping(host) {
+        // The next beat tells the others.
         host.spending_changed.notify_one();
     }
 }
 
+/// Takes in one row; `state` is that of `host`. Tells whether it changes who may get requests.
+fn adopt_row(host: &Host, state: &mut HostState, now: ClockInstant, row: &DirectoryRow) -> bool {
+    let Ok(name) = row.key.parse::<UpstreamId>() else {
+        log_entry(&row.key, "its key is not an upstream's name");
+        return false;
+    };
+    if !state.directory.note_version(now, &name, row.version) {
+        return false;
+    }
+    let before = state.directory.standing(&name);
+    let trouble = state.store_trouble;
+    match row.value.as_deref().map(host.wire.entry) {
+        None => {
+            state.directory.remove(now, &name, trouble);
+            spdlog::info!("upstream left the directory", kv: {
+                upstream = name.as_str(),
+                used_on = state.directory.get(&name).is_some(),
+            });
+        }
+        Some(Err(error)) => {
+            log_entry(&row.key, &error.to_string());
+            state.directory.remove(now, &name, None);
+        }
+        Some(Ok(entry)) => {
+            let (draining, born) = (entry.report.draining, entry.report.born);
+            let service = entry.service.clone();
+            let used = state.directory.put(now, name.clone(), entry);
+            if used && state.directory.standing(&name) != before {
+                spdlog::info!("upstream in the directory", kv: {
+                    upstream = name.as_str(),
+                    service = service.as_str(),
+                    draining = draining,
+                    born = born,
+                });
+            }
+        }
+    }
+    state.directory.standing(&name) != before
+}
+
 fn log_entry(key: &str, cause: &str) {
     spdlog::warn!("directory row names no upstream", kv: { row = key, cause = cause });
 }
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -6,8 +6,8 @@
 
 use dotterellane_decisions::beat_pace::BeatPace;
 use dotterellane_decisions::holdings_news::HoldingsNews;
+use dotterellane_decisions::keeper_candidates::{KeeperCandidate, candidate_rank, is_much_larger};
 use dotterellane_decisions::keeper_lease::{KeeperLease, LeaseRow, LeaseStep};
-use dotterellane_decisions::rendezvous::role_holder;
 use dotterellane_decisions::weight_plan::{
     HeldModel, HostDemand, OrderOutcome, PlannedOrder, RunnerReport, WeightPlan,
 };
@@ -23,7 +23,7 @@
 use crate::messages::{KeeperMark, PeerNote, RunnerHoldings};
 use crate::notices;
 use crate::peers::{send_beat, send_to_all};
-use crate::state::{Host, KnownKeeper};
+use crate::state::{Host, HostState, KnownKeeper};
 
 /// Key of the lease's row.
 const LEASE_KEY: &str = "keeper/lease";
@@ -34,12 +34,12 @@
 /// Further silence for each candidate that comes before.
 const CANDIDATE_STEP: Duration = Duration::from_millis(300);
 
-/// Milliseconds within which hosts count as started at the same time.
-const START_ROUNDING_MS: u64 = 2_000;
-
 /// Time after the start in which a host only listens for a keeper.
 const START_SILENCE: Duration = Duration::from_millis(350);
 
+/// Time for which a host that took the lease keeps it at least.
+const LEAST_KEEPING: Duration = Duration::from_millis(500);
+
 /// Pause between two looks at what to do about the lease.
 const LEASE_LOOK: Duration = Duration::from_millis(100);
 
@@ -78,6 +78,8 @@
     /// Questions that wait for an answer.
     asking: usize,
     keeping: bool,
+    /// When this host took the lease.
+    taken: ClockInstant,
 }
 
 /// The desk of a host; locked only between two waits, never while the host's state is.
@@ -94,6 +96,7 @@
             asked: BTreeMap::new(),
             asking: 0,
             keeping: false,
+            taken: ClockInstant::default(),
         }))
     }
 
@@ -227,6 +230,9 @@
 pub async fn keep_lease(host: Arc<Host>) {
     let began = host.now();
     loop {
+        if gives_way(&host) {
+            give_way(&host).await;
+        }
         let step = lease_step(&host, began);
         match step {
             None => sleep(LEASE_LOOK).await,
@@ -257,14 +263,12 @@
         let state = host.state();
         let silence = match &state.keeper {
             Some(keeper) if keeper.host != host.settings.host => now.since(keeper.heard),
-            _ => now.since(began).saturating_sub(START_SILENCE) + KEEPER_SILENCE,
+            _ => {
+                let alone = state.keeper_left.map_or(began + START_SILENCE, |left| left.max(began));
+                now.since(alone) + KEEPER_SILENCE
+            }
         };
-        let peer_silence = BeatPace::of(state.peers.len()).silence;
-        let live = state.peers.iter().filter(|(_, peer)| {
-            now.since(peer.heard) < peer_silence && !peer.leaving && peer.fresh
-        });
-        let live = live.map(|(name, peer)| (name, peer.incarnation));
-        let rank = candidate_rank(live, &host.settings.host, host.incarnation);
+        let rank = candidate_rank(live_candidates(&state, now), own_candidate(host));
         if silence < KEEPER_SILENCE + CANDIDATE_STEP.saturating_mul(rank)
             || now.since(began) < START_SILENCE
         {
@@ -274,22 +278,55 @@
     Some(desk.lease.next_step(now))
 }
 
-/// Returns how many hosts come before this one as candidates: those that started later, because
-/// hosts that are restarted in turn come to the others first.
-fn candidate_rank<'a, H>(hosts: H, own: &HostId, incarnation: HostIncarnation) -> u32
-where
-    H: Iterator<Item = (&'a HostId, HostIncarnation)>,
-{
-    let before = |of: HostIncarnation| {
-        let (their, own) = (of.0 / START_ROUNDING_MS, incarnation.0 / START_ROUNDING_MS);
-        their.cmp(&own)
+fn own_candidate(host: &Host) -> KeeperCandidate<'_> {
+    KeeperCandidate {
+        host: &host.settings.host,
+        incarnation: host.incarnation,
+        processor: host.settings.processor,
+    }
+}
+
+/// Returns the other hosts that could keep now.
+fn live_candidates(
+    state: &HostState,
+    now: ClockInstant,
+) -> impl Iterator<Item = KeeperCandidate<'_>> {
+    let silence = BeatPace::of(state.peers.len()).silence;
+    let live = state
+        .peers
+        .iter()
+        .filter(move |(_, peer)| now.since(peer.heard) < silence && !peer.leaving && peer.fresh);
+    live.map(|(host, peer)| KeeperCandidate {
+        host,
+        incarnation: peer.incarnation,
+        processor: peer.processor,
+    })
+}
+
+/// Tells whether this host keeps although a much larger one could: it took the lease before it knew.
+fn gives_way(host: &Host) -> bool {
+    let now = host.now();
+    let kept = {
+        let desk = host.desk.lock();
+        desk.keeping && now.since(desk.taken) > LEAST_KEEPING
     };
-    let count = hosts.filter(|(name, of)| match before(*of) {
-        std::cmp::Ordering::Greater => true,
-        std::cmp::Ordering::Equal => role_holder("keeper", "", [*name, own]) == Some(*name),
-        std::cmp::Ordering::Less => false,
+    let state = host.state();
+    kept && is_much_larger(live_candidates(&state, now), own_candidate(host))
+}
+
+/// Gives the lease back while the daemon runs on.
+async fn give_way(host: &Host) {
+    spdlog::info!("keeper gives way to a larger host", kv: {
+        host = host.settings.host.as_str(),
     });
-    u32::try_from(count.count()).unwrap_or(u32::MAX)
+    {
+        let mut state = host.state();
+        state.keeper = None;
+        state.keeper_left = Some(host.now());
+    }
+    release(host).await;
+    host.desk.lock().lease.on_doubt();
+    send_beat(host, false);
 }
 
 async fn read_lease(host: &Host) {
@@ -337,7 +374,11 @@
             let first = {
                 let mut desk = host.desk.lock();
                 desk.lease.on_written(started, version, row.clone());
-                !std::mem::replace(&mut desk.keeping, true)
+                let first = !std::mem::replace(&mut desk.keeping, true);
+                if first {
+                    desk.taken = host.now();
+                }
+                first
             };
             if first {
                 take_over(host, &row, version);
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -38,6 +38,8 @@
     Demand(Vec<(ServiceId, HostDemand)>, Vec<UpstreamId>),
     /// Sent by the keeper when what runners hold changes.
     Holdings(FenceNumber, Vec<RunnerHoldings>),
+    /// Sent by the keeper: rows of the directory that changed who may get requests.
+    DirectoryRows(Vec<DirectoryRow>),
     /// A request crashed an upstream.
     Crash(CrashReport),
     /// Sent to a host that was not heard before: a crash from which a request is quarantined.
@@ -48,6 +50,18 @@
     GrantAnswer(u64, GrantAnswer),
 }
 
+/// A row of the directory as the store showed it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct DirectoryRow {
+    /// Name of the upstream.
+    pub key: String,
+    /// Version of the row.
+    pub version: RowVersion,
+    /// Content; `None` if the row was removed.
+    pub value: Option<Vec<u8>>,
+}
+
 /// A question to the keeper for tokens of a team.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -80,6 +94,8 @@
     pub leaving: bool,
     /// Whether the store answers it and its configuration counts as the newest.
     pub fresh: bool,
+    /// Processor that it has, in thousandths of a core.
+    pub processor: u32,
     /// What it spent, by team.
     pub spending: SpendingReport,
     /// Requests that it runs, by upstream.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -75,7 +75,10 @@
             return;
         }
     };
-    for address in addresses {
+    // Where a link takes only a part of them, the others are not always the same ones.
+    let first = rand::random_range(0..addresses.len());
+    let (late, early) = addresses.split_at(first);
+    for address in early.iter().chain(late) {
         let label = match host.socket.try_send_to(&bytes, *address) {
             Ok(_) => "sent",
             // Datagrams may be lost anyway; the next beat makes up for it.
@@ -140,6 +143,7 @@
     HostBeat {
         leaving: host.leaving.is_cancelled(),
         fresh: state.is_fresh(now) && state.reaches_store(),
+        processor: host.settings.processor,
         spending: state.levels.report(now, introducing),
         running: state.own_runs(),
         leaving_upstreams: state.directory.leaving_marks(now, news_span),
@@ -189,6 +193,7 @@
             heard: now,
             leaving: false,
             fresh: false,
+            processor: 0,
             running,
         };
         state.peers.insert(from.clone(), peer);
@@ -211,6 +216,7 @@
             keeper::on_demand(host, &from, &demands, &unreachable);
         }
         PeerNote::Holdings(fence, holdings) => keeper::adopt_holdings(host, fence, holdings),
+        PeerNote::DirectoryRows(rows) => followers::adopt_passed_rows(host, rows),
         PeerNote::Crash(report) => crashes::absorb(host, &report),
         PeerNote::PastCrash(crash) => crashes::absorb_past(host, &crash),
         PeerNote::GrantRequest(request) => {
@@ -226,6 +232,9 @@
     state.levels.absorb(now, from, incarnation, &beat.spending, beat.leaving);
     let gave_up =
         beat.keeper.is_none() && state.keeper.take_if(|keeper| keeper.host == *from).is_some();
+    if gave_up {
+        state.keeper_left = Some(now);
+    }
     if let Some(mark) = beat.keeper {
         let newer = state.keeper.as_ref().is_none_or(|known| known.mark.fence <= mark.fence);
         if newer {
@@ -235,6 +244,7 @@
     if let Some(peer) = state.peers.get_mut(from) {
         peer.leaving = beat.leaving;
         peer.fresh = beat.fresh;
+        peer.processor = beat.processor;
         peer.running = beat.running.iter().cloned().collect();
     }
     if let Some(sighting) = beat.sighting {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -23,6 +23,8 @@
     pub metrics: SocketAddr,
     /// Whether the whole fleet starts for the first time.
     pub first_start: bool,
+    /// Processor that the host has, in thousandths of a core.
+    pub processor: u32,
     /// Time between the last order of one keeper and the first of the next.
     pub keeper_gap: Duration,
     /// What may change while the daemon runs.
@@ -36,6 +38,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Time after the start of a look at the configuration for which it counts as the newest.
     pub freshness: Duration,
+    /// Time within which a change of the configuration must be in force.
+    pub change_bound: Duration,
+    /// Time within which an upstream that leaves must get no more requests.
+    pub leaving_bound: Duration,
     /// Time from the request to stop until the process is killed.
     pub shutdown: Duration,
     /// Further sends that each request earns its upstreams.
@@ -58,6 +64,7 @@
             ("readiness", self.readiness != newer.readiness),
             ("peers", self.peers != newer.peers),
             ("metrics", self.metrics != newer.metrics),
+            ("processor", self.processor != newer.processor),
             ("keeper_gap", self.keeper_gap != newer.keeper_gap),
         ];
         // Whether the fleet starts for the first time means nothing to a daemon that runs.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -63,6 +63,8 @@
     pub leaving: bool,
     /// Whether the store answers it, as it said.
     pub fresh: bool,
+    /// Processor that it has, in thousandths of a core.
+    pub processor: u32,
     /// Requests that it runs, by upstream.
     pub running: BTreeMap<UpstreamId, u32>,
 }
@@ -115,6 +117,8 @@
     pub peers: BTreeMap<HostId, KnownPeer>,
     /// The keeper.
     pub keeper: Option<KnownKeeper>,
+    /// When a keeper last gave its lease up.
+    pub keeper_left: Option<ClockInstant>,
     /// Requests that crashed upstreams.
     pub crashes: CrashMachine,
 }
@@ -194,6 +198,7 @@
             arrivals: BTreeMap::new(),
             peers: BTreeMap::new(),
             keeper: None,
+            keeper_left: None,
             crashes: CrashMachine::default(),
         };
         let desk = SharedDesk::new(settings.host.clone(), incarnation, settings.keeper_gap);
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -7,7 +7,7 @@
 use dotterellane_gateway::call::{DirectoryEntry, ModelChoice};
 use dotterellane_gateway::directory::{Directory, LAPSE_GRACE, REFUSED_PAUSE};
 use dotterellane_gateway::events::{EventCutter, ResumePoint};
-use dotterellane_units::{ClockInstant, ServiceId, UpstreamId};
+use dotterellane_units::{ClockInstant, RowVersion, ServiceId, UpstreamId};
 use googletest::prelude::*;
 use http::HeaderValue;
 
@@ -170,3 +170,16 @@
     cutter.push(b"id: \x01\ndata: d\n\n");
     expect_that!(cutter.resume_point(), eq(&ResumePoint::Nowhere));
 }
+
+#[gtest]
+fn row_that_comes_late_by_another_way_is_no_news() {
+    let mut directory = Directory::default();
+    expect_that!(directory.note_version(at(0), &name(), RowVersion(7)), eq(true));
+    expect_that!(directory.note_version(at(1), &name(), RowVersion(7)), eq(true));
+    expect_that!(directory.note_version(at(2), &name(), RowVersion(6)), eq(false));
+    // Also after its row is gone.
+    directory.sweep(at(1_000));
+    expect_that!(directory.note_version(at(1_000), &name(), RowVersion(6)), eq(false));
+    directory.sweep(at(120_000));
+    expect_that!(directory.note_version(at(120_000), &name(), RowVersion(6)), eq(true));
+}
