--- a/crates/gateway/src/keeper/lease.rs
+++ b/crates/gateway/src/keeper/lease.rs
@@ -10,7 +10,7 @@
 use dotterellane_units::{ClockInstant, FenceNumber, HostIncarnation, RowVersion};
 use tokio::time::sleep;
 
-use super::set_facts;
+use super::{KEEPER_SILENCE, set_facts};
 use crate::messages::KeeperMark;
 use crate::peers::send_beat;
 use crate::state::{Host, HostState, KnownKeeper};
@@ -18,9 +18,6 @@
 /// Key of the lease's row.
 const LEASE_KEY: &str = "keeper/lease";
 
-/// Time without a beat of the keeper after which the first candidate looks at the lease.
-const KEEPER_SILENCE: Duration = Duration::from_millis(700);
-
 /// Further silence for each candidate that comes before.
 const CANDIDATE_STEP: Duration = Duration::from_millis(300);
 
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -21,6 +21,10 @@
 use crate::messages::{KeeperMark, RunnerHoldings};
 use crate::state::Host;
 
+/// Time without a beat of the keeper after which it is not asked, and the first candidate looks at the
+/// lease.
+pub const KEEPER_SILENCE: Duration = Duration::from_millis(700);
+
 /// What this host knows as keeper or candidate.
 #[derive(Debug)]
 pub struct KeeperDesk {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod notices;
 pub mod peers;
+pub mod places;
 pub mod refusal;
 pub mod relay;
 pub mod run;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,9 +13,10 @@
 use crate::answer::{Admission, GatewayCall, model_text};
 use crate::body::{AnswerPiece, BrokenAnswer, GatewayBody};
 use crate::crashes::report_break;
-use crate::dispatch::{FoundPlace, Journey, SendEnd, find_place, send};
+use crate::dispatch::{Journey, SendEnd, send};
 use crate::document::CallKind;
 use crate::events::{EventCutter, EventTail, ResumePoint};
+use crate::places::{FoundPlace, find_place};
 use crate::state::Host;
 
 /// Pieces that may wait for a caller that reads slowly.
--- a/crates/gateway/src/spending.rs
+++ b/crates/gateway/src/spending.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::keeper;
+use crate::keeper::{self, KEEPER_SILENCE};
 use crate::messages::{GrantAnswer, GrantRequest, PeerNote};
 use crate::peers::send_to_host;
 use crate::refusal::GatewayRefusal;
@@ -18,9 +18,6 @@
 /// Longest wait told to a team that is over its rate.
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
 
-/// Time without a beat of the keeper after which it is not asked.
-const KEEPER_SILENCE: Duration = Duration::from_millis(700);
-
 /// Time after which a question that was not answered is put once more.
 const ANSWER_PAUSE: Duration = Duration::from_millis(40);
 
