Let a host whose lease ran out grant itself nothing

Cause, found by reading: a keeper that lost the store or stood still went on taking tokens as the keeper until it heard of the next one, so that two could spend most of one level around a hand-over. Whoever holds no lease now counts as one whom nobody grants anything. The choice is a function of its own with tests; the one of a lease that ran out fails with the condition taken out, as the code before had none.

--- a/crates/gateway/src/spending.rs
+++ b/crates/gateway/src/spending.rs
@@ -13,7 +13,7 @@
 use crate::messages::{GrantAnswer, GrantRequest, PeerNote};
 use crate::peers::send_to_host;
 use crate::refusal::GatewayRefusal;
-use crate::state::{Host, HostState};
+use crate::state::{Host, KnownKeeper};
 
 /// Longest wait told to a team that is over its rate.
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
@@ -60,9 +60,15 @@
     cost: TokenCount,
 ) -> Result<(), GatewayRefusal> {
     let (outcome, keeper) = {
-        let (now, asked) = (host.now(), may_ask(host));
+        let (now, may_ask) = (host.now(), may_ask(host));
+        let holds_lease = keeper::mark(host).is_some();
         let mut state = host.state();
-        let (source, keeper) = grant_source(host, &state, now, asked);
+        let own = &host.settings.host;
+        let source = match grant_source(own, state.keeper.as_ref(), holds_lease, now) {
+            GrantSource::Keeper if !may_ask => GrantSource::Nobody,
+            source => source,
+        };
+        let keeper = state.keeper.as_ref().map(|keeper| keeper.host.clone());
         (state.levels.charge(now, team, cost, source), keeper)
     };
     let outcome = match (outcome, keeper) {
@@ -81,19 +87,19 @@
     until.is_none_or(|until| until <= host.now())
 }
 
-/// Returns who can grant tokens to this host now, and the keeper if it is another host.
-fn grant_source(
-    host: &Host,
-    state: &HostState,
+/// Returns who can grant tokens to the host `own` now, which knows `keeper`. A host whose lease ran out
+/// is no keeper, though it may know no other one yet.
+pub fn grant_source(
+    own: &HostId,
+    keeper: Option<&KnownKeeper>,
+    holds_lease: bool,
     now: ClockInstant,
-    may_ask: bool,
-) -> (GrantSource, Option<HostId>) {
-    match &state.keeper {
-        Some(keeper) if keeper.host == host.settings.host => (GrantSource::Itself, None),
-        Some(keeper) if may_ask && now.since(keeper.heard) < KEEPER_SILENCE => {
-            (GrantSource::Keeper, Some(keeper.host.clone()))
-        }
-        _ => (GrantSource::Nobody, None),
+) -> GrantSource {
+    match keeper {
+        Some(keeper) if keeper.host == *own && holds_lease => GrantSource::Itself,
+        Some(keeper) if keeper.host == *own => GrantSource::Nobody,
+        Some(keeper) if now.since(keeper.heard) < KEEPER_SILENCE => GrantSource::Keeper,
+        _ => GrantSource::Nobody,
     }
 }
 
