--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -23,8 +23,8 @@
 /// Part of the time within which changes must be heeded after which a host looks at the store itself.
 const LOOK_PART: f64 = 0.6;
 
-/// The same of the time for which the configuration counts as the newest.
-const FRESH_LOOK_PART: f64 = 0.6;
+/// Longest such time: a look may fail twice before the change is seen.
+const LONGEST_LOOK_AGE: Duration = Duration::from_millis(1_200);
 
 /// Rows of the directory that go into one datagram.
 const ROWS_A_DATAGRAM: usize = 8;
@@ -179,9 +179,8 @@
 
 /// Returns the age of what is known from which a host looks at the store itself.
 fn look_age(state: &HostState) -> Duration {
-    let HostTuning { change_bound, leaving_bound, freshness, .. } = state.tuning;
-    let heeded = change_bound.min(leaving_bound).mul_f64(LOOK_PART);
-    heeded.min(freshness.mul_f64(FRESH_LOOK_PART))
+    let HostTuning { change_bound, leaving_bound, .. } = state.tuning;
+    change_bound.min(leaving_bound).mul_f64(LOOK_PART).min(LONGEST_LOOK_AGE)
 }
 
 /// Takes in a version; tells whether what is known is now the newest.
--- a/crates/gateway/src/keeper/orders.rs
+++ b/crates/gateway/src/keeper/orders.rs
@@ -72,7 +72,9 @@
     let issuer = OrderIssuer { host: &host.settings.host, fence };
     let call = (host.wire.order)(&order, &issuer);
     let started = host.now();
-    let outcome = match call_runner(&host, &order.runner, &call).await {
+    // The connection may have taken long, and the host may have stood still meanwhile.
+    let may_order = || host.desk.lock().lease.may_order(host.now()) == Some(fence);
+    let outcome = match call_runner(&host, &order.runner, &call, may_order).await {
         Some(Ok((status, _))) => (host.wire.order_outcome)(status),
         Some(Err(ExchangeError::NotSent { .. })) => OrderOutcome::Busy,
         Some(Err(ExchangeError::Broken { .. })) => OrderOutcome::Unanswered,
@@ -102,12 +104,17 @@
     host.plan_wanted.notify_one();
 }
 
-/// Calls a runner on the fleet's own behalf; `None` if it is not known.
-async fn call_runner(
+/// Calls a runner on the fleet's own behalf, if that is wanted still once the connection is open; `None`
+/// if the runner is not known.
+async fn call_runner<W>(
     host: &Arc<Host>,
     runner: &UpstreamId,
     call: &RunnerCall,
-) -> Option<Result<(http::StatusCode, bytes::Bytes), ExchangeError>> {
+    is_wanted: W,
+) -> Option<Result<(http::StatusCode, bytes::Bytes), ExchangeError>>
+where
+    W: Fn() -> bool,
+{
     let (peer, born) = {
         let state = host.state();
         let entry = &state.directory.get(runner)?.entry;
@@ -134,6 +141,10 @@
         if wants_pause() {
             return Err(paused());
         }
+        if !is_wanted() {
+            let cause = "it is no longer wanted".to_owned();
+            return Err(ExchangeError::NotSent { peer, cause, refused: false });
+        }
         let head = exchange(connection, sending).await?;
         notices::note(host, runner, born, head.status(), head.headers());
         read_whole(peer, head, ORDER_TIMEOUT).await
@@ -173,7 +184,7 @@
 async fn ask_runner(host: &Arc<Host>, runner: &UpstreamId) {
     let call = (host.wire.report_call)(runner);
     let asked = host.now();
-    let Some(answered) = call_runner(host, runner, &call).await else { return };
+    let Some(answered) = call_runner(host, runner, &call, || true).await else { return };
     let (status, body) = match answered {
         Ok(answered) => answered,
         Err(error) => {
