Tell at each crash who else was there, and what a broken answer's upstream met

A break that was not confirmed left no line, nor did a request that was stopped or cleared, and the line of a crash said neither how many crashes the request had nor who shared them. Change: a counter of breaks by what a new connection met; crashes and companions in the line of a crash; lines for a suspect that ran to its end, with the status, and for a request that is stopped. No logic changes.

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -45,6 +45,15 @@
     pub suspects: Vec<RequestFingerprint>,
 }
 
+/// What is known of one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CrashStanding {
+    /// Crashes at which it was running.
+    pub crashes: usize,
+    /// Other requests that share a crash with it and were running at another one too.
+    pub companions: usize,
+}
+
 /// Crashes that this host knows of, and what it runs where.
 #[derive(Clone, Debug, Default)]
 pub struct CrashMachine {
@@ -159,6 +168,17 @@
             .any(|crash| crash.suspects.contains(&fingerprint) && self.is_only(fingerprint, crash))
     }
 
+    /// Returns what is known of a request.
+    pub fn standing(&self, fingerprint: RequestFingerprint) -> CrashStanding {
+        let shared = self.crashes.iter().filter(|crash| crash.suspects.contains(&fingerprint));
+        let companions: BTreeSet<_> = shared
+            .flat_map(|crash| &crash.suspects)
+            .filter(|other| **other != fingerprint)
+            .collect();
+        let repeated = companions.iter().filter(|other| self.crash_count(***other) > 1);
+        CrashStanding { crashes: self.crash_count(fingerprint), companions: repeated.count() }
+    }
+
     /// Returns the number of requests that are quarantined.
     pub fn quarantined_count(&mut self, now: ClockInstant) -> usize {
         let all: BTreeSet<_> =
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -7,6 +7,7 @@
 use dotterellane_decisions::quarantine::{CrashReport, RememberedCrash, RequestFingerprint};
 use dotterellane_units::{HostId, TeamId, UpstreamId};
 use dotterellane_upstream::connect::connect_tcp;
+use http::StatusCode;
 use tokio::time::{sleep, timeout};
 
 use crate::answer::GatewayCall;
@@ -35,11 +36,20 @@
         Self { host: host.clone(), fingerprint, upstream, ended: false }
     }
 
-    /// Notes that the request ran to its end.
-    pub fn completed(mut self) {
+    /// Notes that the request ran to its end, with an answer of this status.
+    pub fn completed(mut self, status: StatusCode) {
         self.ended = true;
-        let cleared = self.host.state().crashes.completed(self.fingerprint, &self.upstream);
+        let mut state = self.host.state();
+        let standing = state.crashes.standing(self.fingerprint);
+        let cleared = state.crashes.completed(self.fingerprint, &self.upstream);
+        drop(state);
         if let Some(report) = cleared {
+            spdlog::info!("suspect ran to its end", kv: {
+                upstream = self.upstream.as_str(),
+                fingerprint = self.fingerprint.to_string().as_str(),
+                status = status.as_u16(),
+                crashes = standing.crashes,
+            });
             send_to_all(&self.host, &PeerNote::Crash(report));
         }
     }
@@ -71,16 +81,19 @@
     let host = host.clone();
     tokio::spawn(async move {
         sleep(CONFIRM_PAUSE).await;
-        // One that still accepts connections lost the answer alone.
-        let refused = matches!(timeout(CONFIRM_TIMEOUT, connect_tcp(address)).await, Ok(Err(_)));
-        if !refused {
+        if !refuses_connections(&host, address).await {
             return;
         }
         let (fingerprint, upstream) = (flight.fingerprint, flight.upstream.clone());
-        let reports = host.state().crashes.crashed(host.now(), fingerprint, &upstream);
+        let mut state = host.state();
+        let reports = state.crashes.crashed(host.now(), fingerprint, &upstream);
+        let standing = state.crashes.standing(fingerprint);
+        drop(state);
         spdlog::warn!("upstream crashed under a request", kv: {
             upstream = upstream.as_str(),
-            fingerprint = format!("{:032x}", fingerprint.0).as_str(),
+            fingerprint = fingerprint.to_string().as_str(),
+            crashes = standing.crashes,
+            companions = standing.companions,
         });
         for report in reports {
             send_to_all(&host, &PeerNote::Crash(report));
@@ -88,6 +101,17 @@
     });
 }
 
+/// Tells whether an upstream refuses a new connection; one that accepts it lost the answer alone.
+async fn refuses_connections(host: &Host, address: SocketAddr) -> bool {
+    let met = match timeout(CONFIRM_TIMEOUT, connect_tcp(address)).await {
+        Ok(Ok(_stream)) => "accepted",
+        Ok(Err(_refusal)) => "refused",
+        Err(_elapsed) => "silent",
+    };
+    host.metrics.breaks.with_label_values(&[met]).inc();
+    met == "refused"
+}
+
 /// Takes in what another host says of crashes.
 pub fn absorb(host: &Host, report: &CrashReport) {
     host.state().crashes.absorb(host.now(), report);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,8 @@
     pub answers: IntCounterVec,
     /// Sends to upstreams by how they ended.
     pub sends: IntCounterVec,
+    /// Answers that broke off, by what a new connection to their upstream met then.
+    pub breaks: IntCounterVec,
     /// Answers of the keeper to requests for tokens.
     pub grants: IntCounterVec,
     /// What upstreams said of themselves in answers.
@@ -67,6 +69,11 @@
                 "Requests sent to upstreams.",
                 &["outcome"],
             )?,
+            breaks: counter(
+                "dotterellane_breaks_total",
+                "Answers that broke off, by what a new connection met then.",
+                &["connection"],
+            )?,
             grants: counter(
                 "dotterellane_grants_total",
                 "Requests for tokens by what the keeper answered.",
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterellane_decisions::quarantine::CrashStanding;
 use dotterellane_decisions::runner_choice::{RunnerCandidate, choose_runner};
 use dotterellane_units::{ClockInstant, UpstreamId};
 use http::StatusCode;
@@ -127,6 +128,9 @@
     // The configuration may have changed, or have gone out of sight, while the request waited.
     *admission = admit(host, &state, call)?;
     if state.crashes.is_quarantined(now, journey.fingerprint) {
+        let standing = state.crashes.standing(journey.fingerprint);
+        drop(state);
+        log_quarantined(call, journey, standing);
         return Err(GatewayRefusal::fixed(StatusCode::SERVICE_UNAVAILABLE, "crashes_upstreams"));
     }
     let choice = call.head.model.as_ref();
@@ -161,6 +165,15 @@
     Ok(Some(FoundPlace { name, address, born, replaceable, candidates, running, hold, flight }))
 }
 
+fn log_quarantined(call: &GatewayCall, journey: &Journey, standing: CrashStanding) {
+    spdlog::warn!("request that crashes upstreams is stopped", kv: {
+        request = call.head.request.as_str(),
+        fingerprint = journey.fingerprint.to_string().as_str(),
+        crashes = standing.crashes,
+        companions = standing.companions,
+    });
+}
+
 /// Returns a number that is the same for each repetition of a request id.
 pub fn spread_of(call: &GatewayCall) -> u64 {
     let digest = blake3::hash(call.head.request.as_bytes());
--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -1,5 +1,7 @@
 //! Crashes of upstreams and the requests that were running there.
 
+use std::fmt;
+
 use dotterellane_units::UpstreamId;
 use serde::{Deserialize, Serialize};
 
@@ -11,6 +13,12 @@
 #[derive(Deserialize, Serialize)]
 pub struct RequestFingerprint(pub u128);
 
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
 /// What one host tells the others about crashes.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
