Stop a request at three crashes, whoever shares them

Cause: a request was stopped only if one of its crashes named nobody else with two. Requests that few upstreams can run, such as those for a model with one holder, wait for the same upstream after each crash and meet there again, so that none is ever alone. Suspects are kept apart on one host, but not between hosts. Class: a verdict that needs a coincidence (one suspect alone) and has no bound when it does not come. Why it works: the count alone decides at three, and grows with each crash that is heard of. Ruled out: choosing the smallest set of requests that explains all crashes; it frees all but one of several guilty ones, which then crash on in turn. Not changed: two crashes suffice where one of them names nobody else.

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -23,9 +23,12 @@
 /// Largest number of crashes remembered; the oldest goes first.
 pub const MAX_CRASHES: usize = 256;
 
-/// Number of crashes after which a request is quarantined.
+/// Number of crashes after which a request is quarantined if one of them names nobody else.
 const CRASHES_TO_QUARANTINE: usize = 2;
 
+/// Number of crashes after which a request is quarantined whoever shares them.
+const MOST_CRASHES: usize = 3;
+
 #[derive(Clone, Debug)]
 struct CrashRecord {
     runner: UpstreamId,
@@ -160,12 +163,12 @@
     /// Tells whether a request is to be refused.
     pub fn is_quarantined(&mut self, now: ClockInstant, fingerprint: RequestFingerprint) -> bool {
         self.forget(now);
-        if self.crash_count(fingerprint) < CRASHES_TO_QUARANTINE {
+        let count = self.crash_count(fingerprint);
+        if count < CRASHES_TO_QUARANTINE {
             return false;
         }
-        let mut crashes = self.crashes.iter();
-        crashes
-            .any(|crash| crash.suspects.contains(&fingerprint) && self.is_only(fingerprint, crash))
+        let mut shared = self.crashes.iter().filter(|crash| crash.suspects.contains(&fingerprint));
+        count >= MOST_CRASHES || shared.any(|crash| self.is_only(fingerprint, crash))
     }
 
     /// Returns what is known of a request.
