Let only success clear a request that crashed upstreams

Cause: any whole answer counted as "ran to its end" and cleared the request at all hosts, whatever its status. An upstream that answers 500 to everything, as half-sick ones do, began no run and shows nothing. Class: evidence of health taken from an answer that does not need the run. Why it works: the request can only be cleared by a run that ended well, which one that crashes each upstream never has. A sound request whose service answers with failures stays suspect until it succeeds; it is refused only after two crashes.

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -81,7 +81,7 @@
         true
     }
 
-    /// Notes that a request left `runner` without having run to its end.
+    /// Notes that a request left `runner` without having run to its end, or failed there.
     pub fn left(&mut self, fingerprint: RequestFingerprint, runner: &UpstreamId) {
         let Some(flights) = self.flights.get_mut(runner) else { return };
         if let Some(count) = flights.get_mut(&fingerprint) {
@@ -95,7 +95,8 @@
         }
     }
 
-    /// Notes that a request ran to its end; returns what to tell the other hosts if it was suspect.
+    /// Notes that a request ran to its end and succeeded; returns what to tell the other hosts if it was
+    /// suspect.
     pub fn completed(
         &mut self,
         fingerprint: RequestFingerprint,
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -80,7 +80,7 @@
         &self.runner
     }
 
-    /// Clears the request of suspicion: it ran to its end.
+    /// Clears the request of suspicion: it ran to its end and succeeded.
     pub fn completed(mut self) {
         self.open = false;
         let cleared = self.watch.machine().completed(self.fingerprint, &self.runner);
--- a/crates/entry/src/whole.rs
+++ b/crates/entry/src/whole.rs
@@ -41,7 +41,9 @@
                 settle(charge, call, &open, &content);
                 let head = (open.answer.status, runner_answer_headers(&open.answer.headers));
                 open.permit.finish(CallOutcome::Answered);
-                open.flight.completed();
+                if open.answer.status.is_success() {
+                    open.flight.completed();
+                }
                 return Ok(build_answer(head, content));
             }
             Err(fault) => {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -7,7 +7,6 @@
 use dotterellane_decisions::quarantine::{CrashReport, RememberedCrash, RequestFingerprint};
 use dotterellane_units::{HostId, TeamId, UpstreamId};
 use dotterellane_upstream::connect::connect_tcp;
-use http::StatusCode;
 use tokio::time::{sleep, timeout};
 
 use crate::answer::GatewayCall;
@@ -36,8 +35,9 @@
         Self { host: host.clone(), fingerprint, upstream, ended: false }
     }
 
-    /// Notes that the request ran to its end, with an answer of this status.
-    pub fn completed(mut self, status: StatusCode) {
+    /// Notes that the request ran to its end and succeeded; a failure shows nothing, since upstreams may
+    /// fail what they did not begin to run.
+    pub fn completed(mut self) {
         self.ended = true;
         let mut state = self.host.state();
         let standing = state.crashes.standing(self.fingerprint);
@@ -47,7 +47,6 @@
             spdlog::info!("suspect ran to its end", kv: {
                 upstream = self.upstream.as_str(),
                 fingerprint = self.fingerprint.to_string().as_str(),
-                status = status.as_u16(),
                 crashes = standing.crashes,
             });
             send_to_all(&self.host, &PeerNote::Crash(report));
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -366,7 +366,9 @@
     let span = journey.remaining(host).unwrap_or(LEAST_REMAINING);
     match read_whole(place.address, head, span).await {
         Ok((status, headers, body)) => {
-            place.flight.completed(status);
+            if status.is_success() {
+                place.flight.completed();
+            }
             Some(whole_response(host, status, &headers, body))
         }
         Err(error) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -92,7 +92,6 @@
         let mut leg = Some((place, head));
         while let Some((place, head)) = leg.take() {
             let (name, address) = (place.name.clone(), place.address);
-            let status = head.status();
             match self.relay_leg(head).await {
                 LegEnd::Whole => {
                     spdlog::info!("stream ended whole", kv: {
@@ -100,7 +99,7 @@
                         upstream = name.as_str(),
                         after_ms = self.host.now().since(self.call.arrived).as_millis() as u64,
                     });
-                    place.flight.completed(status);
+                    place.flight.completed();
                     let rest = self.cutter.rest();
                     if !rest.is_empty() {
                         let _gone = self.pieces.send(Ok(rest)).await;
