Repeat in beats the crashes that requests share

Callers saw: a host that was cut off, stood still or lost a datagram while crashes were told let the request go on; each such host cost more upstreams. Cause: a report of a crash, and of a success that clears a suspect, went to each known host once, in one datagram without an answer. Only hosts that appeared were told again, and only of the crashes that already named a request. Class: soft state told once. Upstreams that leave were repeated in beats already; this was not. Change: beats carry the crashes that requests with two or more share: those of late in each, all in each that introduces, at most 512 suspects a beat, others each time. The datagram for hosts that appear goes away. A success is remembered with its time, so a host that missed it cannot make the request suspect again; whoever knows of it answers. Ruled out: sending each report three times, as the product does on its own lists of hosts; it does not reach a host that is cut off for longer.

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -4,7 +4,7 @@
 //! crashes, and that no other such request shares a crash with, is quarantined. Suspects of a first
 //! crash are kept apart from each other, so that a second crash names one of them.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use dotterellane_units::{ClockInstant, UpstreamId};
@@ -33,10 +33,12 @@
 struct CrashRecord {
     runner: UpstreamId,
     at: ClockInstant,
+    /// When a suspect was last added.
+    extended: ClockInstant,
     suspects: BTreeSet<RequestFingerprint>,
 }
 
-/// A crash that took part in quarantining a request, as one host tells another that was not there.
+/// A crash that took part in quarantining a request, as hosts repeat it to each other.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct RememberedCrash {
@@ -61,6 +63,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashMachine {
     crashes: Vec<CrashRecord>,
+    /// When suspects last succeeded; older crashes don't count against them.
+    cleared: BTreeMap<RequestFingerprint, ClockInstant>,
     flights: HashMap<UpstreamId, HashMap<RequestFingerprint, u32>>,
 }
 
@@ -99,13 +103,16 @@
     /// suspect.
     pub fn completed(
         &mut self,
+        now: ClockInstant,
         fingerprint: RequestFingerprint,
         runner: &UpstreamId,
     ) -> Option<CrashReport> {
         self.left(fingerprint, runner);
-        let suspect = self.is_suspect(fingerprint);
-        self.clear(fingerprint);
-        suspect.then_some(CrashReport::Cleared { fingerprint })
+        if !self.is_suspect(fingerprint) {
+            return None;
+        }
+        self.clear(now, fingerprint);
+        Some(CrashReport::Cleared { fingerprint, age: Duration::ZERO })
     }
 
     /// Notes that `runner` crashed under a request; returns what to tell the other hosts.
@@ -119,8 +126,7 @@
         if let Some(flights) = self.flights.get(runner) {
             running.extend(flights.keys());
         }
-        self.forget(now);
-        let fresh = self.add_suspects(now, runner, running);
+        let fresh = self.add_suspects(now, now, runner, running);
         let parts = fresh.chunks(MAX_REPORT_FINGERPRINTS);
         parts
             .map(|part| CrashReport::Crashed { runner: runner.clone(), suspects: part.to_vec() })
@@ -131,34 +137,44 @@
     pub fn absorb(&mut self, now: ClockInstant, report: &CrashReport) {
         match report {
             CrashReport::Crashed { runner, suspects } => {
-                self.forget(now);
-                self.add_suspects(now, runner, suspects.iter().copied().collect());
+                self.add_suspects(now, now, runner, suspects.iter().copied().collect());
             }
-            CrashReport::Cleared { fingerprint } => self.clear(*fingerprint),
+            CrashReport::Cleared { fingerprint, age } => self.clear(now - *age, *fingerprint),
         }
     }
 
-    /// Returns the crashes from which another host finds the same requests quarantined.
-    pub fn remembered(&mut self, now: ClockInstant) -> Vec<RememberedCrash> {
+    /// Returns the crashes from which another host finds the same requests quarantined: all of them, or
+    /// those that a suspect was added to within `span`.
+    pub fn remembered(
+        &mut self,
+        now: ClockInstant,
+        span: Option<Duration>,
+    ) -> Vec<RememberedCrash> {
         self.forget(now);
-        let repeated = |fingerprint: &&RequestFingerprint| {
-            self.crash_count(**fingerprint) >= CRASHES_TO_QUARANTINE
-        };
-        let crashes = self.crashes.iter().map(|crash| RememberedCrash {
+        let repeated = self.repeated();
+        let recent =
+            |crash: &&CrashRecord| span.is_none_or(|span| now.since(crash.extended) < span);
+        let crashes = self.crashes.iter().filter(recent).map(|crash| RememberedCrash {
             runner: crash.runner.clone(),
             age: now.since(crash.at),
-            suspects: crash.suspects.iter().filter(repeated).copied().collect(),
+            suspects: crash.suspects.intersection(&repeated).copied().collect(),
         });
         crashes.filter(|crash| !crash.suspects.is_empty()).collect()
     }
 
-    /// Takes in a crash of before this host was there.
-    pub fn remind(&mut self, now: ClockInstant, crash: &RememberedCrash) {
-        self.forget(now);
-        if crash.age < CRASH_MEMORY {
-            let suspects = crash.suspects.iter().copied().collect();
-            self.add_suspects(now - crash.age, &crash.runner, suspects);
+    /// Takes in a crash that another host remembers; returns what to tell it of suspects that have
+    /// succeeded since.
+    pub fn remind(&mut self, now: ClockInstant, crash: &RememberedCrash) -> Vec<CrashReport> {
+        if crash.age >= CRASH_MEMORY {
+            return Vec::new();
         }
+        let at = now - crash.age;
+        self.add_suspects(now, at, &crash.runner, crash.suspects.iter().copied().collect());
+        let cleared = crash.suspects.iter().filter_map(|fingerprint| {
+            let cleared = *self.cleared.get(fingerprint).filter(|cleared| **cleared > at)?;
+            Some(CrashReport::Cleared { fingerprint: *fingerprint, age: now.since(cleared) })
+        });
+        cleared.collect()
     }
 
     /// Tells whether a request is to be refused.
@@ -203,6 +219,13 @@
         self.crashes.iter().filter(|crash| crash.suspects.contains(&fingerprint)).count()
     }
 
+    /// Returns the requests that were running at two crashes or more.
+    fn repeated(&self) -> BTreeSet<RequestFingerprint> {
+        let mut once = BTreeSet::new();
+        let all = self.crashes.iter().flat_map(|crash| &crash.suspects);
+        all.filter(|fingerprint| !once.insert(**fingerprint)).copied().collect()
+    }
+
     fn must_wait(&self, fingerprint: RequestFingerprint, runner: &UpstreamId) -> bool {
         let runs = self.flights.values().any(|flights| flights.contains_key(&fingerprint));
         let beside = self.flights.get(runner);
@@ -212,35 +235,57 @@
     /// Adds suspects to the crash of `runner` around `at`; returns those that were not known.
     fn add_suspects(
         &mut self,
+        now: ClockInstant,
         at: ClockInstant,
         runner: &UpstreamId,
-        suspects: BTreeSet<RequestFingerprint>,
+        mut suspects: BTreeSet<RequestFingerprint>,
     ) -> Vec<RequestFingerprint> {
-        let same = |crash: &&mut CrashRecord| {
+        self.forget(now);
+        let same = |crash: &CrashRecord| {
             let apart = at.since(crash.at).max(crash.at.since(at));
             crash.runner == *runner && apart < CRASH_WINDOW
         };
-        if let Some(crash) = self.crashes.iter_mut().rev().find(same) {
-            let fresh: Vec<_> = suspects.difference(&crash.suspects).copied().collect();
-            crash.suspects.extend(fresh.iter().copied());
-            return fresh;
+        let known = self.crashes.iter().rposition(same);
+        let at = known.map_or(at, |place| self.crashes[place].at);
+        suspects.retain(|suspect| self.cleared.get(suspect).is_none_or(|cleared| *cleared <= at));
+        match known {
+            Some(place) => {
+                let crash = &mut self.crashes[place];
+                suspects.retain(|suspect| crash.suspects.insert(*suspect));
+                if !suspects.is_empty() {
+                    crash.extended = now;
+                }
+            }
+            None if suspects.is_empty() => {}
+            None => self.insert(CrashRecord {
+                runner: runner.clone(),
+                at,
+                extended: now,
+                suspects: suspects.clone(),
+            }),
         }
+        suspects.into_iter().collect()
+    }
+
+    fn insert(&mut self, crash: CrashRecord) {
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.remove(0);
         }
-        let fresh = suspects.iter().copied().collect();
-        let place = self.crashes.partition_point(|crash| crash.at <= at);
-        self.crashes.insert(place, CrashRecord { runner: runner.clone(), at, suspects });
-        fresh
+        let place = self.crashes.partition_point(|known| known.at <= crash.at);
+        self.crashes.insert(place, crash);
     }
 
-    fn clear(&mut self, fingerprint: RequestFingerprint) {
-        for crash in &mut self.crashes {
+    /// Holds no crash of before `at` against a request.
+    fn clear(&mut self, at: ClockInstant, fingerprint: RequestFingerprint) {
+        let cleared = self.cleared.entry(fingerprint).or_insert(at);
+        *cleared = at.max(*cleared);
+        for crash in self.crashes.iter_mut().filter(|crash| crash.at < at) {
             crash.suspects.remove(&fingerprint);
         }
     }
 
     fn forget(&mut self, now: ClockInstant) {
         self.crashes.retain(|crash| now.since(crash.at) < CRASH_MEMORY);
+        self.cleared.retain(|_, at| now.since(*at) < CRASH_MEMORY);
     }
 }
--- a/crates/decisions/tests/crash_day.rs
+++ b/crates/decisions/tests/crash_day.rs
@@ -33,6 +33,9 @@
 /// Time from a crash to the reports of other hosts.
 const NEWS_LAG: Duration = Duration::from_millis(60);
 
+/// Time after which hosts repeat what they remember, in milliseconds.
+const REMINDER_MILLIS: u128 = 2_400;
+
 /// Time for which a place is empty after a crash.
 const DOWN_SPAN: Duration = Duration::from_secs(3);
 
@@ -164,6 +167,22 @@
         }
     }
 
+    /// Lets each host repeat to the others what it remembers.
+    fn remind(&mut self) {
+        for from in 0..HOSTS {
+            for crash in self.machines[from].remembered(self.now, None) {
+                for host in (0..HOSTS).filter(|host| *host != from) {
+                    if self.random.random_bool(self.lost_reports) {
+                        continue;
+                    }
+                    for report in self.machines[host].remind(self.now, &crash) {
+                        self.machines[from].absorb(self.now, &report);
+                    }
+                }
+            }
+        }
+    }
+
     /// Starts what can start.
     fn start(&mut self) {
         for mut request in std::mem::take(&mut self.waiting) {
@@ -213,7 +232,7 @@
             self.outcome.served += 1;
             let upstream = self.upstream(run.place);
             let machine = &mut self.machines[run.request.host];
-            if let Some(report) = machine.completed(run.request.fingerprint, &upstream) {
+            if let Some(report) = machine.completed(now, run.request.fingerprint, &upstream) {
                 self.tell(run.request.host, &report);
             }
         }
@@ -270,6 +289,9 @@
             if millis.is_multiple_of(1_000) {
                 (0..deadly).for_each(|number| self.arrive(RequestFingerprint(number), 0, true));
             }
+            if millis.is_multiple_of(REMINDER_MILLIS) {
+                self.remind();
+            }
             for (_, part) in waves.iter().filter(|(at, _)| *at == millis) {
                 self.crash_in_numbers(*part);
             }
@@ -313,3 +335,9 @@
 fn deadly_requests_of_one_group_are_stopped() {
     play_days(3, 0.0, &[]);
 }
+
+// Guards against hosts that let deadly requests go on since the one report about a crash was lost.
+#[gtest]
+fn deadly_requests_are_stopped_although_reports_are_lost() {
+    play_days(3, 0.3, &[]);
+}
--- a/crates/decisions/tests/quarantine.rs
+++ b/crates/decisions/tests/quarantine.rs
@@ -99,8 +99,11 @@
     expect_that!(machine.is_quarantined(at(1), CRASHER), eq(false));
     expect_that!(machine.is_quarantined(at(1), INNOCENT), eq(false));
     expect_that!(machine.enter(at(1), INNOCENT, &runner("c")), eq(true));
-    let report = machine.completed(INNOCENT, &runner("c"));
-    expect_that!(report, some(eq(&CrashReport::Cleared { fingerprint: INNOCENT })));
+    let report = machine.completed(at(1), INNOCENT, &runner("c"));
+    expect_that!(
+        report,
+        some(eq(&CrashReport::Cleared { fingerprint: INNOCENT, age: Duration::ZERO }))
+    );
     expect_that!(machine.is_quarantined(at(2), CRASHER), eq(true));
     expect_that!(machine.is_quarantined(at(2), INNOCENT), eq(false));
 }
@@ -144,10 +147,12 @@
         }
         let now = at(60_000);
         let mut reminded = CrashMachine::default();
-        let told = machine.remembered(now);
+        let told = machine.remembered(now, None);
         // Two hosts tell of the same, one a little later.
         for lag in [0, 40] {
-            told.iter().for_each(|crash| reminded.remind(now + Duration::from_millis(lag), crash));
+            told.iter().for_each(|crash| {
+                reminded.remind(now + Duration::from_millis(lag), crash);
+            });
         }
         let later = now + Duration::from_secs(1);
         for number in 0..6 {
@@ -162,18 +167,59 @@
 fn remembered_crash_keeps_its_age() {
     let mut machine = CrashMachine::default();
     crash(&mut machine, at(10_000), "a", &[CRASHER, INNOCENT]);
-    expect_that!(machine.remembered(at(10_001)), is_empty());
+    expect_that!(machine.remembered(at(10_001), None), is_empty());
     crash(&mut machine, at(20_000), "b", &[CRASHER]);
-    let told = machine.remembered(at(50_000));
+    let told = machine.remembered(at(50_000), None);
     let ages: Vec<Duration> = told.iter().map(|crash| crash.age).collect();
     expect_that!(ages, eq(&[Duration::from_secs(40), Duration::from_secs(30)]));
     expect_that!(told[0].suspects, eq(&[CRASHER]));
     // The clock of the other host shows another time.
     let mut reminded = CrashMachine::default();
     let now = at(90_000) + CRASH_MEMORY;
-    told.iter().for_each(|crash| reminded.remind(now, crash));
+    told.iter().for_each(|crash| {
+        reminded.remind(now, crash);
+    });
     expect_that!(reminded.is_quarantined(now, CRASHER), eq(true));
     let end = now + CRASH_MEMORY - Duration::from_secs(40);
     expect_that!(reminded.is_quarantined(end - Duration::from_secs(1), CRASHER), eq(true));
     expect_that!(reminded.is_quarantined(end + Duration::from_secs(1), CRASHER), eq(false));
 }
+
+// Guards against a cleared request that a host, which missed the clearing, makes suspect again everywhere.
+#[gtest]
+fn clearing_outlasts_what_hosts_remember() {
+    let (mut one, mut two) = (CrashMachine::default(), CrashMachine::default());
+    for (millis, name) in [(0, "a"), (10_000, "b")] {
+        crash(&mut one, at(millis), name, &[INNOCENT]);
+        crash(&mut two, at(millis), name, &[INNOCENT]);
+    }
+    one.enter(at(11_000), INNOCENT, &runner("c"));
+    expect_that!(one.completed(at(12_000), INNOCENT, &runner("c")), some(anything()));
+    let mut answers = Vec::new();
+    for crash in two.remembered(at(13_000), None) {
+        answers.extend(one.remind(at(13_000), &crash));
+    }
+    expect_that!(one.is_quarantined(at(13_000), INNOCENT), eq(false));
+    expect_that!(two.is_quarantined(at(13_000), INNOCENT), eq(true));
+    answers.iter().for_each(|report| two.absorb(at(13_100), report));
+    expect_that!(two.is_quarantined(at(13_200), INNOCENT), eq(false));
+    expect_that!(two.remembered(at(13_200), None), is_empty());
+    // Crashes after that count from the first again.
+    crash(&mut two, at(20_000), "d", &[INNOCENT]);
+    expect_that!(two.is_quarantined(at(20_001), INNOCENT), eq(false));
+    crash(&mut two, at(30_000), "e", &[INNOCENT]);
+    expect_that!(two.is_quarantined(at(30_001), INNOCENT), eq(true));
+}
+
+#[gtest]
+fn remembered_crash_is_news_for_a_while() {
+    let mut machine = CrashMachine::default();
+    crash(&mut machine, at(0), "a", &[CRASHER]);
+    crash(&mut machine, at(10_000), "b", &[CRASHER]);
+    let told = |machine: &mut CrashMachine, millis| {
+        let crashes = machine.remembered(at(millis), Some(Duration::from_secs(1)));
+        crashes.into_iter().map(|crash| crash.runner).collect::<Vec<_>>()
+    };
+    expect_that!(told(&mut machine, 10_900), eq(&[runner("b")]));
+    expect_that!(told(&mut machine, 11_000), is_empty());
+}
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -81,9 +81,9 @@
     }
 
     /// Clears the request of suspicion: it ran to its end and succeeded.
-    pub fn completed(mut self) {
+    pub fn completed(mut self, now: ClockInstant) {
         self.open = false;
-        let cleared = self.watch.machine().completed(self.fingerprint, &self.runner);
+        let cleared = self.watch.machine().completed(now, self.fingerprint, &self.runner);
         if let Some(report) = cleared {
             (self.watch.publish)(report);
         }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -241,7 +241,7 @@
         if let RelayPhase::Relaying(leg) = self.end_phase() {
             let RelayLeg { body, permit, flight } = *leg;
             permit.finish(CallOutcome::Answered);
-            flight.completed();
+            flight.completed(self.context.ports.clock.now());
             if !self.splitter.has_excess() {
                 self.phase = RelayPhase::Closing { body };
             }
--- a/crates/entry/src/whole.rs
+++ b/crates/entry/src/whole.rs
@@ -42,7 +42,7 @@
                 let head = (open.answer.status, runner_answer_headers(&open.answer.headers));
                 open.permit.finish(CallOutcome::Answered);
                 if open.answer.status.is_success() {
-                    open.flight.completed();
+                    open.flight.completed(context.ports.clock.now());
                 }
                 return Ok(build_answer(head, content));
             }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -7,6 +7,7 @@
 use dotterellane_decisions::quarantine::{CrashReport, RememberedCrash, RequestFingerprint};
 use dotterellane_units::{HostId, TeamId, UpstreamId};
 use dotterellane_upstream::connect::connect_tcp;
+use rand::seq::SliceRandom;
 use tokio::time::{sleep, timeout};
 
 use crate::answer::GatewayCall;
@@ -20,6 +21,9 @@
 /// Time within which a live upstream accepts a connection.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Most suspects that one beat names, over all crashes.
+const MAX_TOLD_SUSPECTS: usize = 512;
+
 /// A request that counts among those that its upstream works on until this is dropped.
 #[derive(Debug)]
 pub struct FlightHold {
@@ -41,7 +45,8 @@
         self.ended = true;
         let mut state = self.host.state();
         let standing = state.crashes.standing(self.fingerprint);
-        let cleared = state.crashes.completed(self.fingerprint, &self.upstream);
+        let now = self.host.now();
+        let cleared = state.crashes.completed(now, self.fingerprint, &self.upstream);
         drop(state);
         if let Some(report) = cleared {
             spdlog::info!("suspect ran to its end", kv: {
@@ -116,15 +121,24 @@
     host.state().crashes.absorb(host.now(), report);
 }
 
-/// Tells a host that was not heard before which requests are quarantined.
-pub fn introduce(host: &Host, stranger: &HostId) {
-    let crashes = host.state().crashes.remembered(host.now());
-    for crash in crashes {
-        send_to_host(host, stranger, &PeerNote::PastCrash(crash));
-    }
+/// Leaves out crashes that do not fit into a beat: others each time, so that all are told soon.
+pub fn within_beat(mut crashes: Vec<RememberedCrash>) -> Vec<RememberedCrash> {
+    crashes.shuffle(&mut rand::rng());
+    let mut left = MAX_TOLD_SUSPECTS;
+    crashes.retain(|crash| {
+        let fits = crash.suspects.len() <= left;
+        left -= if fits { crash.suspects.len() } else { 0 };
+        fits
+    });
+    crashes
 }
 
-/// Takes in a crash of before this host was there.
-pub fn absorb_past(host: &Host, crash: &RememberedCrash) {
-    host.state().crashes.remind(host.now(), crash);
+/// Takes in crashes that the host `from` remembers, and tells it of requests that succeeded since.
+pub fn absorb_remembered(host: &Host, from: &HostId, crashes: &[RememberedCrash]) {
+    for crash in crashes {
+        let cleared = host.state().crashes.remind(host.now(), crash);
+        for report in cleared {
+            send_to_host(host, from, &PeerNote::Crash(report));
+        }
+    }
 }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -42,8 +42,6 @@
     DirectoryRows(Vec<DirectoryRow>),
     /// A request crashed an upstream.
     Crash(CrashReport),
-    /// Sent to a host that was not heard before: a crash from which a request is quarantined.
-    PastCrash(RememberedCrash),
     /// Sent to the keeper: a request needs tokens of a team.
     GrantRequest(GrantRequest),
     /// Sent by the keeper: the answer to the request for tokens with this number.
@@ -102,6 +100,8 @@
     pub running: Vec<(UpstreamId, u32)>,
     /// Upstreams that said that they leave: those of late, or all of them now and then.
     pub leaving_upstreams: Vec<LeavingMark>,
+    /// Crashes from which requests are quarantined: those of late, or all of them now and then.
+    pub crashes: Vec<RememberedCrash>,
     /// The keeper's lease, if it holds it.
     pub keeper: Option<KeeperMark>,
     /// What the store showed it last; only the keeper tells.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -147,6 +147,7 @@
         spending: state.levels.report(now, introducing),
         running: state.own_runs(),
         leaving_upstreams: state.directory.leaving_marks(now, news_span),
+        crashes: crashes::within_beat(state.crashes.remembered(now, news_span)),
         keeper,
         sighting: keeper.and_then(|_| state.sighting()),
         peers,
@@ -208,7 +209,6 @@
             address = source.to_string().as_str(),
         });
         send_to(host, &PeerNote::Beat(next_beat(host, true)), &[source]);
-        crashes::introduce(host, &from);
     }
     match note {
         PeerNote::Beat(beat) => accept_beat(host, &from, incarnation, beat),
@@ -218,7 +218,6 @@
         PeerNote::Holdings(fence, holdings) => keeper::adopt_holdings(host, fence, holdings),
         PeerNote::DirectoryRows(rows) => followers::adopt_passed_rows(host, rows),
         PeerNote::Crash(report) => crashes::absorb(host, &report),
-        PeerNote::PastCrash(crash) => crashes::absorb_past(host, &crash),
         PeerNote::GrantRequest(request) => {
             spending::on_request(host, &from, incarnation, &request);
         }
@@ -253,6 +252,7 @@
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
     drop(state);
     notices::absorb(host, from, &beat.leaving_upstreams);
+    crashes::absorb_remembered(host, from, &beat.crashes);
     match beat.keeper {
         Some(mark) => keeper::on_mark(host, mark),
         None if gave_up => keeper::on_given_up(host),
--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -1,6 +1,7 @@
 //! Crashes of upstreams and the requests that were running there.
 
 use std::fmt;
+use std::time::Duration;
 
 use dotterellane_units::UpstreamId;
 use serde::{Deserialize, Serialize};
@@ -30,9 +31,11 @@
         /// Requests that were running there.
         suspects: Vec<RequestFingerprint>,
     },
-    /// A suspect ran to its end.
+    /// A suspect ran to its end and succeeded.
     Cleared {
         /// The request.
         fingerprint: RequestFingerprint,
+        /// How long ago.
+        age: Duration,
     },
 }
