Forget crashes that requests share last

Cause: a host remembers 256 crashes, and the oldest went first, whatever it showed. Class: evidence that ages by what happens to others. Change: the oldest crash at which no request was that has another one goes first. Evidence: the new test (two crashes of one request, then 512 of others) fails on the code before; quarantined now. Left: more than 256 crashes that all are shared.

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -20,7 +20,7 @@
 /// Time after which a crash is forgotten.
 pub const CRASH_MEMORY: Duration = Duration::from_secs(3_600);
 
-/// Largest number of crashes remembered; the oldest goes first.
+/// Largest number of crashes remembered; the oldest goes first, those that requests share last.
 pub const MAX_CRASHES: usize = 256;
 
 /// Number of crashes after which a request is quarantined if one of them names nobody else.
@@ -269,7 +269,9 @@
 
     fn insert(&mut self, crash: CrashRecord) {
         if self.crashes.len() >= MAX_CRASHES {
-            self.crashes.remove(0);
+            let repeated = self.repeated();
+            let names_nobody = |crash: &CrashRecord| crash.suspects.is_disjoint(&repeated);
+            self.crashes.remove(self.crashes.iter().position(names_nobody).unwrap_or(0));
         }
         let place = self.crashes.partition_point(|known| known.at <= crash.at);
         self.crashes.insert(place, crash);
--- a/crates/decisions/tests/quarantine.rs
+++ b/crates/decisions/tests/quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dotterellane_decisions::quarantine::{
-    CRASH_MEMORY, CRASH_WINDOW, CrashMachine, CrashReport, MAX_REPORT_FINGERPRINTS,
+    CRASH_MEMORY, CRASH_WINDOW, CrashMachine, CrashReport, MAX_CRASHES, MAX_REPORT_FINGERPRINTS,
     RequestFingerprint,
 };
 use dotterellane_units::{ClockInstant, UpstreamId};
@@ -223,3 +223,16 @@
     expect_that!(told(&mut machine, 10_900), eq(&[runner("b")]));
     expect_that!(told(&mut machine, 11_000), is_empty());
 }
+
+// Guards against a quarantined request that goes free since many upstreams crashed under others.
+#[gtest]
+fn quarantine_outlasts_many_crashes_of_others() {
+    let mut machine = CrashMachine::default();
+    crash(&mut machine, at(0), "a", &[CRASHER]);
+    crash(&mut machine, at(10_000), "b", &[CRASHER]);
+    for number in 0..2 * MAX_CRASHES as u64 {
+        let alone = RequestFingerprint(1_000 + u128::from(number));
+        crash(&mut machine, at(20_000 + number * 100), &format!("r{number}"), &[alone]);
+    }
+    expect_that!(machine.is_quarantined(at(100_000), CRASHER), eq(true));
+}
