Bound the heads of one answer at 64 KiB

One upstream that sends heads of status 100 without end stops the whole daemon: nobody is answered, and the connection stays open after the deadline. Cause: the protocol's library reads on over interim heads for as long as they are there, without giving the thread back, so that no deadline is noticed. It bounds one head, not their number. Class: a bound on each piece, none on the sum. Change: connections to upstreams count what is read until the head of an answer has arrived, and fail beyond 64 KiB. One copy, in the package of upstreams, for the gateway and for the product's own calls, which pool connections and had the same fault. Lines and headers without end were cut off before, too.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use dotterellane_upstream::connect::connect_tcp;
+use dotterellane_upstream::head_limit::{HeadLimit, HeadLimited};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -55,6 +56,7 @@
 pub struct OpenConnection {
     peer: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    limit: HeadLimit,
 }
 
 /// A call of an upstream.
@@ -86,12 +88,14 @@
             cause: error.to_string(),
             refused: error.kind() == ErrorKind::ConnectionRefused,
         })?;
-    let (sender, driver) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+    let limit = HeadLimit::default();
+    let stream = TokioIo::new(HeadLimited::new(stream, limit.clone()));
+    let (sender, driver) = hyper::client::conn::http1::handshake(stream)
         .await
         .map_err(|error| not_sent(error.to_string()))?;
     // Its errors reach the call through the sender and the body.
     tokio::spawn(driver);
-    Ok(OpenConnection { peer, sender })
+    Ok(OpenConnection { peer, sender, limit })
 }
 
 /// Sends a call and returns the head of its answer with the body still to be read.
@@ -102,7 +106,7 @@
     connection: OpenConnection,
     call: Exchange<'_>,
 ) -> Result<Response<Incoming>, ExchangeError> {
-    let OpenConnection { peer, mut sender } = connection;
+    let OpenConnection { peer, mut sender, limit } = connection;
     let not_sent = |cause: String| ExchangeError::NotSent { peer, cause, refused: false };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
@@ -120,10 +124,12 @@
     let broken = |cause: String| ExchangeError::Broken { step: "await answer", peer, cause };
     let sent = timeout(call.head_timeout, sender.try_send_request(request)).await;
     let answer = sent.map_err(|_elapsed| broken(format!("silent for {:?}", call.head_timeout)))?;
-    answer.map_err(|mut failure| match failure.take_message() {
+    let answer = answer.map_err(|mut failure| match failure.take_message() {
         Some(_) => not_sent("the connection closed before the request was sent".to_owned()),
         None => broken(failure.into_error().to_string()),
-    })
+    })?;
+    limit.lift();
+    Ok(answer)
 }
 
 /// Reads the rest of an answer whole.
--- a/crates/upstream/src/calls.rs
+++ b/crates/upstream/src/calls.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::connect::connect_tcp;
+use crate::head_limit::{HeadLimit, HeadLimited};
 use crate::pool::{PooledConnection, UpstreamPool};
 
 /// Header that carries the request id to the upstream and back.
@@ -132,6 +133,7 @@
     let mut connection = open_connection(pool, call).await?;
     let mut message = build_message(call)?;
     loop {
+        connection.head_limit.arm();
         let sending = connection.sender.try_send_request(message);
         let Ok(sent) = timeout(call.limits.first_byte, sending).await else {
             pool.condemn(call.address);
@@ -140,7 +142,10 @@
             return Err(CallError { reused: connection.reused, ..error });
         };
         let mut failure = match sent {
-            Ok(response) => return accept_answer(pool, call, connection, response),
+            Ok(response) => {
+                connection.head_limit.lift();
+                return accept_answer(pool, call, connection, response);
+            }
             Err(failure) => failure,
         };
         let unsent = failure.take_message();
@@ -181,12 +186,14 @@
         return Err(failed(format!("no connection within {:?}", call.limits.connect)));
     };
     let stream = connected.map_err(|error| failed(error.to_string()))?;
-    let (sender, driver) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+    let head_limit = HeadLimit::default();
+    let stream = TokioIo::new(HeadLimited::new(stream, head_limit.clone()));
+    let (sender, driver) = hyper::client::conn::http1::handshake(stream)
         .await
         .map_err(|error| failed(error.to_string()))?;
     // Its errors reach the call through the sender and the body.
     tokio::spawn(driver);
-    Ok(PooledConnection { sender, address: call.address, generation, reused: false })
+    Ok(PooledConnection { sender, head_limit, address: call.address, generation, reused: false })
 }
 
 fn build_message(call: &CallRequest) -> Result<Request<Full<Bytes>>, CallError> {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod calls;
 pub mod connect;
+pub mod head_limit;
 pub mod lingering;
 pub mod orders;
 pub mod pool;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -11,6 +11,8 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::Instant;
 
+use crate::head_limit::HeadLimit;
+
 /// Time after which an idle connection is closed instead of used again.
 pub const MAX_IDLE: Duration = Duration::from_secs(5);
 
@@ -23,6 +25,7 @@
 /// A connection taken from the pool or newly opened.
 pub(crate) struct PooledConnection {
     pub(crate) sender: ConnectionSender,
+    pub(crate) head_limit: HeadLimit,
     pub(crate) address: SocketAddr,
     pub(crate) generation: u64,
     pub(crate) reused: bool,
@@ -30,6 +33,7 @@
 
 struct IdleConnection {
     sender: ConnectionSender,
+    head_limit: HeadLimit,
     since: Instant,
 }
 
@@ -73,8 +77,9 @@
         let slot = slots.get_mut(&address)?;
         slot.idle.retain(|idle| usable(idle, now));
         let place = slot.idle.iter().rposition(|idle| idle.sender.is_ready())?;
-        let sender = slot.idle.swap_remove(place).sender;
-        Some(PooledConnection { sender, address, generation: slot.generation, reused: true })
+        let IdleConnection { sender, head_limit, .. } = slot.idle.swap_remove(place);
+        let generation = slot.generation;
+        Some(PooledConnection { sender, head_limit, address, generation, reused: true })
     }
 
     pub(crate) fn generation(&self, address: SocketAddr) -> u64 {
@@ -87,7 +92,8 @@
         if slot.generation != connection.generation || slot.idle.len() >= MAX_IDLE_PER_ADDRESS {
             return;
         }
-        slot.idle.push(IdleConnection { sender: connection.sender, since: Instant::now() });
+        let PooledConnection { sender, head_limit, .. } = connection;
+        slot.idle.push(IdleConnection { sender, head_limit, since: Instant::now() });
     }
 
     fn slots(&self) -> MutexGuard<'_, HashMap<SocketAddr, AddressSlot>> {
