Share 24 MiB among answers that are read whole

Callers saw: nothing reported; found by the test of bodies without end. Cause: each answer might take 16 MiB before it was cut off, so ten callers at an upstream that sends without end took more memory than the users' smallest hosts have. Class: as before, a bound on each piece, none on the sum. Change: 64 KiB of each answer are free; what goes beyond is taken from 24 MiB for all answers and runners' reports, and an answer for which none is left fails. Weighed: passing long answers on while they come, which needs no bound; it cannot be sent again after its first byte. Left: a sound answer longer than 64 KiB may fail while others without end hold the rest.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -364,7 +364,7 @@
 ) -> Option<Response<GatewayBody>> {
     journey.runs += 1;
     let span = journey.remaining(host).unwrap_or(LEAST_REMAINING);
-    match read_whole(place.address, head, span).await {
+    match read_whole(place.address, head, span, &host.answer_memory).await {
         Ok((status, headers, body)) => {
             if status.is_success() {
                 place.flight.completed();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,16 +7,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dotterellane_upstream::connect::connect_tcp;
 use dotterellane_upstream::head_limit::{HeadLimit, HeadLimited};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::timeout;
 
 /// Time within which a connection must open.
@@ -25,6 +26,12 @@
 /// Longest answer that is read whole, in bytes.
 pub const MAX_WHOLE_BYTES: usize = 16 << 20;
 
+/// Part of each answer that needs none of the shared memory, in bytes.
+const FREE_ANSWER_BYTES: usize = 64 << 10;
+
+/// Memory that the rest of all answers that are read whole may take together, in KiB.
+const SHARED_ANSWER_KILOBYTES: usize = 24 << 10;
+
 /// Why a call gave no answer.
 #[derive(Clone, Debug)]
 #[derive(Error)]
@@ -132,23 +139,79 @@
     Ok(answer)
 }
 
+/// Memory that answers share while they are read whole.
+#[derive(Debug)]
+pub struct AnswerMemory {
+    kilobytes: Semaphore,
+}
+
+impl Default for AnswerMemory {
+    fn default() -> Self {
+        Self { kilobytes: Semaphore::new(SHARED_ANSWER_KILOBYTES) }
+    }
+}
+
+/// The part of the shared memory that one answer holds, until this is dropped.
+struct MemoryHold<'a> {
+    memory: &'a AnswerMemory,
+    held: Option<SemaphorePermit<'a>>,
+    kilobytes: usize,
+}
+
+impl MemoryHold<'_> {
+    /// Takes what an answer of `bytes` needs; tells whether it is there.
+    fn grow(&mut self, bytes: usize) -> bool {
+        let wanted = bytes.saturating_sub(FREE_ANSWER_BYTES).div_ceil(1 << 10);
+        let missing = wanted.saturating_sub(self.kilobytes);
+        let taken = u32::try_from(missing)
+            .ok()
+            .and_then(|missing| self.memory.kilobytes.try_acquire_many(missing).ok());
+        let Some(permit) = taken else { return false };
+        match &mut self.held {
+            Some(held) => held.merge(permit),
+            None => self.held = Some(permit),
+        }
+        self.kilobytes = self.kilobytes.max(wanted);
+        true
+    }
+}
+
 /// Reads the rest of an answer whole.
 ///
 /// # Errors
-/// Fails if the answer breaks off, is too long or does not end in time.
+/// Fails if the answer breaks off, is too long or does not end in time, or if long answers hold all the
+/// memory that they share.
 pub async fn read_whole(
     peer: SocketAddr,
     answer: Response<Incoming>,
     span: Duration,
+    memory: &AnswerMemory,
 ) -> Result<(StatusCode, HeaderMap, Bytes), ExchangeError> {
     let broken = |cause: String| ExchangeError::Broken { step: "read answer", peer, cause };
     let (head, body) = answer.into_parts();
     if head.headers.contains_key(CONTENT_ENCODING) {
         return Err(broken("the body is encoded although none was asked for".to_owned()));
     }
-    let reading = timeout(span, Limited::new(body, MAX_WHOLE_BYTES).collect()).await;
-    let body = reading
+    let body = timeout(span, collect(body, memory))
+        .await
         .map_err(|_elapsed| broken(format!("no whole answer within {span:?}")))?
-        .map_err(|error| broken(error.to_string()))?;
-    Ok((head.status, head.headers, body.to_bytes()))
+        .map_err(broken)?;
+    Ok((head.status, head.headers, body))
+}
+
+async fn collect(mut body: Incoming, memory: &AnswerMemory) -> Result<Bytes, String> {
+    let mut hold = MemoryHold { memory, held: None, kilobytes: 0 };
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let data = frame.map_err(|error| error.to_string())?.into_data().unwrap_or_default();
+        let length = collected.len() + data.len();
+        if length > MAX_WHOLE_BYTES {
+            return Err(format!("it is longer than {MAX_WHOLE_BYTES} bytes"));
+        }
+        if !hold.grow(length) {
+            return Err(format!("no memory is left for more than {} bytes", collected.len()));
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
 }
--- a/crates/gateway/src/keeper/orders.rs
+++ b/crates/gateway/src/keeper/orders.rs
@@ -147,7 +147,7 @@
         }
         let head = exchange(connection, sending).await?;
         notices::note(host, runner, born, head.status(), head.headers());
-        read_whole(peer, head, ORDER_TIMEOUT).await
+        read_whole(peer, head, ORDER_TIMEOUT, &host.answer_memory).await
     };
     Some(answered.await.map(|(status, _, body)| (status, body)))
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::call::{ModelChoice, WireFormat};
 use crate::directory::Directory;
 use crate::document::{CallerLimits, RoutingDocument};
+use crate::exchange::AnswerMemory;
 use crate::keeper::SharedDesk;
 use crate::messages::{KeeperMark, StoreSighting};
 use crate::metrics::GatewayMetrics;
@@ -164,6 +165,8 @@
     pub desk: SharedDesk,
     /// Tokens asked for and granted.
     pub grants: GrantDesk,
+    /// Memory for answers that are read whole.
+    pub answer_memory: AnswerMemory,
     state: Mutex<HostState>,
 }
 
@@ -206,6 +209,7 @@
             socket,
             desk,
             grants: GrantDesk::default(),
+            answer_memory: AnswerMemory::default(),
             settings,
             incarnation,
             wire,
