End a stream that always has more to give at its deadline

Callers saw: nothing reported; found by the test of streams without end. Cause: the deadline was only noticed while a stream was waited for. One whose next bytes are always there is never waited for, so it was passed on for as long as its caller read. Class: a bound that only a pause brings about; the heads without end are of the same kind. Change: the relay looks at the clock before each read. Elsewhere: the product's own relay looks at the clock at each poll already.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -153,6 +153,10 @@
         loop {
             let now = self.host.now();
             let left = end.since(now);
+            // A stream that always has more to give is never waited for.
+            if left.is_zero() {
+                return LegEnd::Late;
+            }
             let stall = (last_event + longest).since(now);
             let gap = if resumable { stall.min(left) } else { left };
             let frame = tokio::select! {
