Look for the end of an event in what is new

Cause: with each piece of a stream the relay looked for a blank line in all that it held of an event, up to 1 MiB, so that an event without end cost the square of its length. Change: it looks in the new piece and the three bytes before it. Measured: 24 callers at a resumable stream without an event, two runs each: 4.32 s until all had their error, now 0.50 s (unoptimized build).

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -7,6 +7,12 @@
 /// Longest event that is held back until it is whole, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Blank lines that end an event.
+const BLANKS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
+
+/// Length of the longest of them, in bytes.
+const LONGEST_BLANK: usize = 4;
+
 /// The last bytes of a stream.
 #[derive(Clone, Debug, Default)]
 pub struct EventTail {
@@ -56,10 +62,14 @@
 impl EventCutter {
     /// Takes in data; returns the whole events that it completes, possibly none.
     pub fn push(&mut self, data: &[u8]) -> Bytes {
+        // What is held already has no blank line, but may end in a part of one.
+        let looked = self.held.len().saturating_sub(LONGEST_BLANK - 1);
         self.held.extend_from_slice(data);
-        let end = [&b"\n\n"[..], b"\r\n\r\n"]
+        let end = BLANKS
             .iter()
-            .filter_map(|blank| memmem::rfind(&self.held, blank).map(|at| at + blank.len()))
+            .filter_map(|blank| {
+                memmem::rfind(&self.held[looked..], blank).map(|at| looked + at + blank.len())
+            })
             .max();
         let Some(end) = end else {
             return Bytes::new();
