Count a further send when it is made

Those that waited were made beside those that were decided on after the window had moved on: up to twice the budget. Class: a bound kept on decisions, not on what they lead to. Change: a further send is reserved when decided on, counts as long as it waits, and stands in the window from when it is made; one that is never made is given back.

--- a/crates/decisions/src/resend_budget.rs
+++ b/crates/decisions/src/resend_budget.rs
@@ -1,4 +1,7 @@
 //! A bound on sends beyond the first of each request, for one host's part of the fleet.
+//!
+//! A further send is reserved when it is decided on and counts from then on, but it may wait long for an
+//! upstream; its place in the window is when it is made.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -21,6 +24,8 @@
 pub struct ResendBudget {
     requests: VecDeque<ClockInstant>,
     resends: VecDeque<ClockInstant>,
+    /// Further sends that were decided on and not made yet.
+    reserved: usize,
 }
 
 impl ResendBudget {
@@ -30,18 +35,30 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one further send; tells whether it may be made.
-    pub fn take(&mut self, now: ClockInstant, limits: &ResendLimits) -> bool {
+    /// Reserves one further send; tells whether it may be made.
+    pub fn reserve(&mut self, now: ClockInstant, limits: &ResendLimits) -> bool {
         self.forget(now, limits);
+        let resends = self.resends.len() + self.reserved;
         #[expect(clippy::cast_precision_loss, reason = "counts of one window are small")]
-        let (requests, resends) = (self.requests.len() as f64, self.resends.len() as f64);
+        let (requests, resends) = (self.requests.len() as f64, resends as f64);
         let allowed = resends + 1.0 <= requests * limits.ratio + limits.slack;
         if allowed {
-            self.resends.push_back(now);
+            self.reserved += 1;
         }
         allowed
     }
 
+    /// Notes that a reserved send is made now.
+    pub fn spend(&mut self, now: ClockInstant) {
+        self.release();
+        self.resends.push_back(now);
+    }
+
+    /// Gives a reserved send back that is not made.
+    pub fn release(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
     fn forget(&mut self, now: ClockInstant, limits: &ResendLimits) {
         for times in [&mut self.requests, &mut self.resends] {
             while times.front().is_some_and(|first| now.since(*first) >= limits.window) {
--- a/crates/decisions/tests/sends.rs
+++ b/crates/decisions/tests/sends.rs
@@ -61,7 +61,8 @@
         if step % 10 == 0 {
             budget.note_request(now, &LIMITS);
         }
-        if budget.take(now, &LIMITS) {
+        if budget.reserve(now, &LIMITS) {
+            budget.spend(now);
             taken.push(step * 10);
         }
     }
@@ -76,8 +77,26 @@
 fn resends_without_requests_end_with_the_slack() {
     let mut budget = ResendBudget::default();
     let now = ClockInstant::from_millis(1);
-    let taken = (0..10).filter(|_| budget.take(now, &LIMITS)).count();
+    let taken = (0..10).filter(|_| budget.reserve(now, &LIMITS)).count();
     expect_that!(taken, eq(2));
+    (0..taken).for_each(|_| budget.spend(now));
     let later = ClockInstant::from_millis(10_001);
-    expect_that!(budget.take(later, &LIMITS), eq(true));
+    expect_that!(budget.reserve(later, &LIMITS), eq(true));
+}
+
+// Guards against further sends that wait long for an upstream and then are made beside those of a later window.
+#[gtest]
+fn resend_that_waited_counts_when_it_is_made() {
+    let mut budget = ResendBudget::default();
+    let at = ClockInstant::from_millis;
+    expect_that!(budget.reserve(at(0), &LIMITS), eq(true));
+    expect_that!(budget.reserve(at(0), &LIMITS), eq(true));
+    budget.spend(at(9_000));
+    // The other one still waits, beyond the window in which it was decided on.
+    expect_that!(budget.reserve(at(10_001), &LIMITS), eq(false));
+    budget.release();
+    expect_that!(budget.reserve(at(10_002), &LIMITS), eq(true));
+    budget.spend(at(10_002));
+    expect_that!(budget.reserve(at(18_999), &LIMITS), eq(false));
+    expect_that!(budget.reserve(at(19_000), &LIMITS), eq(true));
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,7 +21,7 @@
 use crate::places::{FoundPlace, find_place, spread_of};
 use crate::refusal::GatewayRefusal;
 use crate::relay::start_relay;
-use crate::state::Host;
+use crate::state::{Host, ResendHold};
 
 /// Time that must be left for a send to make sense.
 const LEAST_REMAINING: Duration = Duration::from_millis(60);
@@ -42,7 +42,7 @@
 pub const NO_PLACE_RETRY: Duration = Duration::from_millis(300);
 
 /// What was tried for one request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Journey {
     /// When the request must be answered.
     pub deadline: ClockInstant,
@@ -58,6 +58,8 @@
     pub last_event: Option<HeaderValue>,
     /// What tells this request's repetitions from others.
     pub fingerprint: RequestFingerprint,
+    /// A further send that was decided on.
+    pub resend: Option<ResendHold>,
 }
 
 /// What decided where a request went, for its log line.
@@ -130,7 +132,7 @@
             }
             SendEnd::NotSent => {}
             SendEnd::NotRun(pause) => {
-                if journey.sends >= MOST_SENDS || !may_resend(host, &journey.service) {
+                if journey.sends >= MOST_SENDS || !journey.reserve_resend(host) {
                     let refusal = GatewayRefusal::not_run("no_place", NO_PLACE_RETRY);
                     return fallback.ok_or_else(|| journey.settle(refusal));
                 }
@@ -170,6 +172,7 @@
         runs: 0,
         last_event: call.head.last_event.clone(),
         fingerprint,
+        resend: None,
     }
 }
 
@@ -187,12 +190,6 @@
     targets[0].0.clone()
 }
 
-fn may_resend(host: &Host, service: &ServiceId) -> bool {
-    let mut state = host.state();
-    let limits = host.resend_limits(&state);
-    state.resends.entry(service.clone()).or_default().take(host.now(), &limits)
-}
-
 impl Journey {
     /// Returns the time that is left, `None` if it is over.
     pub fn remaining(&self, host: &Host) -> Option<Duration> {
@@ -200,13 +197,21 @@
         (left > LEAST_REMAINING).then_some(left)
     }
 
-    /// Tells whether the request may run again although it may have run; takes from the budget.
-    pub fn may_run_again(&self, host: &Host, admission: &Admission) -> bool {
+    /// Tells whether the request may run again although it may have run; reserves the send.
+    pub fn may_run_again(&mut self, host: &Arc<Host>, admission: &Admission) -> bool {
         admission.route.kind.is_repeatable()
             && self.runs < admission.route.attempts
             && self.sends < MOST_SENDS
             && self.remaining(host).is_some()
-            && may_resend(host, &self.service)
+            && self.reserve_resend(host)
+    }
+
+    /// Reserves a further send; tells whether the budget has one left.
+    fn reserve_resend(&mut self, host: &Arc<Host>) -> bool {
+        if self.resend.is_none() {
+            self.resend = ResendHold::reserve(host, &self.service);
+        }
+        self.resend.is_some()
     }
 
     /// Turns a refusal that says "not run" into one that does not, if the request may have run.
@@ -258,6 +263,11 @@
         body: call.body.clone(),
         head_timeout,
     };
+    if opened.is_ok()
+        && let Some(resend) = journey.resend.take()
+    {
+        resend.spend();
+    }
     journey.sends += 1;
     journey.tried.push(place.name.clone());
     let sent = match opened {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -399,3 +399,37 @@
         }
     }
 }
+
+/// A further send that was decided on; given back if it is not made before this is dropped.
+#[derive(Debug)]
+pub struct ResendHold {
+    host: Arc<Host>,
+    service: ServiceId,
+    made: bool,
+}
+
+impl ResendHold {
+    /// Reserves a further send to `service`; `None` if the budget has none left.
+    pub fn reserve(host: &Arc<Host>, service: &ServiceId) -> Option<Self> {
+        let mut state = host.state();
+        let limits = host.resend_limits(&state);
+        let budget = state.resends.entry(service.clone()).or_default();
+        let reserved = budget.reserve(host.now(), &limits);
+        reserved.then(|| Self { host: host.clone(), service: service.clone(), made: false })
+    }
+
+    /// Notes that the send is made now.
+    pub fn spend(mut self) {
+        self.made = true;
+        let now = self.host.now();
+        self.host.state().resends.entry(self.service.clone()).or_default().spend(now);
+    }
+}
+
+impl Drop for ResendHold {
+    fn drop(&mut self) {
+        if !self.made {
+            self.host.state().resends.entry(self.service.clone()).or_default().release();
+        }
+    }
+}
