Mark upstreams whose rows say that they leave, so that beats tell of them

Cause: rows of the directory were passed on by the keeper alone, and only what it saw while it kept. A row that changed between two keepers was known to the next one already and never passed on. A host that the store turns away heard of it never, saw that its directory differed, and used it on. Class: news that only one role tells, and only at the moment of change. Change: a row that says that its upstream leaves sets the mark that an answer of the upstream sets, which each host's beats repeat. Left: rows that go missing without saying so first are still passed on by the keeper alone.

--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -358,6 +358,10 @@
             let (draining, born) = (entry.report.draining, entry.report.born);
             let service = entry.service.clone();
             let used = state.directory.put(now, name.clone(), entry);
+            // Beats tell hosts that the store turns away, also while no keeper passes rows on.
+            if draining && state.directory.note_leaving(now, &name, born) {
+                host.spending_changed.notify_one();
+            }
             if used && state.directory.standing(&name) != before {
                 spdlog::info!("upstream in the directory", kv: {
                     upstream = name.as_str(),
