--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -29,10 +29,10 @@
 /// Number of crashes after which a request is quarantined whoever shares them.
 const MOST_CRASHES: usize = 3;
 
-/// Number of upstreams that crash together of another cause than a request.
+/// Number of upstreams that crash within `NUMBERS_SPAN` of another cause than a request.
 const CRASHES_IN_NUMBERS: usize = 4;
 
-/// Time within which they do.
+/// Time around a crash within which others belong to it.
 const NUMBERS_SPAN: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Debug)]
@@ -168,7 +168,7 @@
         crashes.filter(|crash| !crash.suspects.is_empty()).collect()
     }
 
-    /// Takes in a crash that another host remembers; returns what to tell it of suspects that have
+    /// Takes in a crash that another host remembers; returns what to tell that host of suspects that have
     /// succeeded since.
     pub fn remind(&mut self, now: ClockInstant, crash: &RememberedCrash) -> Vec<CrashReport> {
         if crash.age >= CRASH_MEMORY {
--- a/crates/decisions/tests/crash_day.rs
+++ b/crates/decisions/tests/crash_day.rs
@@ -51,10 +51,10 @@
 /// Runs after that which the users bear.
 const BORNE_RUNS: usize = 3;
 
-/// Part of all requests that the users let be refused without need, beside a few.
+/// Part of all requests that the users let be refused without need, beside `FEW_REFUSALS`.
 const BORNE_REFUSALS: f64 = 1.0 / 500.0;
 
-/// The few.
+/// Requests that they let be refused on any day.
 const FEW_REFUSALS: f64 = 5.0;
 
 /// Times in milliseconds at which places crash in numbers, and the part of all.
