Ask whether a call may go out when its first byte does

Cause: the lease was asked when the connection was open. The call then goes through a queue of the runtime to the task that writes it out; a host that stands still in between writes it when it wakes, after all else in the queue. Class: a check and an act with a queue between them. Requests pass the same way, so what is known of upstreams that leave, keys and pauses is asked again there too: at hosts with a tenth of a core the queue is long, and DRAIN was broken by 38 to 513 ms. Change: the connection asks when its first byte goes out, and fails without sending; the call counts as not sent.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -251,9 +251,13 @@
         }
         _ => remaining,
     };
-    let opened = open(place.address, head_timeout).await;
+    let may_send = {
+        let (host, call, name) = (host.clone(), call.clone(), place.name.clone());
+        move || may_still_send(&host, &call, &name)
+    };
+    let opened = open(place.address, head_timeout, Box::new(may_send.clone())).await;
     // What is known of the upstream and the request may have changed while the connection opened.
-    if opened.is_ok() && !may_still_send(host, call, &place.name) {
+    if opened.is_ok() && !may_send() {
         return SendEnd::NotSent;
     }
     let sending = Exchange {
@@ -311,6 +315,11 @@
                     journey.tried.retain(|name| *name != place.name);
                     SendEnd::NotSent
                 }
+                ExchangeError::Withheld { .. } => {
+                    journey.sends -= 1;
+                    journey.tried.retain(|name| *name != place.name);
+                    SendEnd::NotSent
+                }
                 ExchangeError::Broken { .. } => {
                     host.state().directory.note_failure(now, &place.name);
                     journey.runs += 1;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,7 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use dotterellane_upstream::connect::connect_tcp;
-use dotterellane_upstream::head_limit::{HeadLimit, HeadLimited};
+use dotterellane_upstream::head_limit::{HeadLimit, HeadLimited, SendCheck};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -46,6 +46,12 @@
         /// Whether nobody listens there.
         refused: bool,
     },
+    /// No byte of the request was sent, since it was no longer to be.
+    #[error("send to {peer}: it is no longer to be sent")]
+    Withheld {
+        /// Address of the upstream.
+        peer: SocketAddr,
+    },
     /// The request was sent, at least in part.
     #[error("{step} at {peer}: {cause}")]
     Broken {
@@ -81,11 +87,15 @@
     pub head_timeout: Duration,
 }
 
-/// Opens a connection to an upstream.
+/// Opens a connection to an upstream. `may_send` is asked again when the first byte goes out.
 ///
 /// # Errors
 /// Fails if it does not open within `span` or the longest time that a connection may take.
-pub async fn open(peer: SocketAddr, span: Duration) -> Result<OpenConnection, ExchangeError> {
+pub async fn open(
+    peer: SocketAddr,
+    span: Duration,
+    may_send: SendCheck,
+) -> Result<OpenConnection, ExchangeError> {
     let not_sent = |cause: String| ExchangeError::NotSent { peer, cause, refused: false };
     let opening = timeout(CONNECT_TIMEOUT.min(span), connect_tcp(peer)).await;
     let stream = opening
@@ -96,7 +106,8 @@
             refused: error.kind() == ErrorKind::ConnectionRefused,
         })?;
     let limit = HeadLimit::default();
-    let stream = TokioIo::new(HeadLimited::new(stream, limit.clone()));
+    let stream = HeadLimited::new(stream, limit.clone()).with_check(may_send);
+    let stream = TokioIo::new(stream);
     let (sender, driver) = hyper::client::conn::http1::handshake(stream)
         .await
         .map_err(|error| not_sent(error.to_string()))?;
@@ -131,6 +142,9 @@
     let broken = |cause: String| ExchangeError::Broken { step: "await answer", peer, cause };
     let sent = timeout(call.head_timeout, sender.try_send_request(request)).await;
     let answer = sent.map_err(|_elapsed| broken(format!("silent for {:?}", call.head_timeout)))?;
+    if answer.is_err() && limit.is_withheld() {
+        return Err(ExchangeError::Withheld { peer });
+    }
     let answer = answer.map_err(|mut failure| match failure.take_message() {
         Some(_) => not_sent("the connection closed before the request was sent".to_owned()),
         None => broken(failure.into_error().to_string()),
--- a/crates/gateway/src/keeper/orders.rs
+++ b/crates/gateway/src/keeper/orders.rs
@@ -73,10 +73,15 @@
     let call = (host.wire.order)(&order, &issuer);
     let started = host.now();
     // The connection may have taken long, and the host may have stood still meanwhile.
-    let may_order = || host.desk.lock().lease.may_order(host.now()) == Some(fence);
+    let may_order = {
+        let host = host.clone();
+        move || host.desk.lock().lease.may_order(host.now()) == Some(fence)
+    };
     let outcome = match call_runner(&host, &order.runner, &call, may_order).await {
         Some(Ok((status, _))) => (host.wire.order_outcome)(status),
-        Some(Err(ExchangeError::NotSent { .. })) => OrderOutcome::Busy,
+        Some(Err(ExchangeError::NotSent { .. } | ExchangeError::Withheld { .. })) => {
+            OrderOutcome::Busy
+        }
         Some(Err(ExchangeError::Broken { .. })) => OrderOutcome::Unanswered,
         None => OrderOutcome::Refused,
     };
@@ -113,7 +118,7 @@
     is_wanted: W,
 ) -> Option<Result<(http::StatusCode, bytes::Bytes), ExchangeError>>
 where
-    W: Fn() -> bool,
+    W: Fn() -> bool + Clone + Send + Sync + 'static,
 {
     let (peer, born) = {
         let state = host.state();
@@ -137,7 +142,7 @@
         head_timeout: ORDER_TIMEOUT,
     };
     let answered = async {
-        let connection = open(peer, ORDER_TIMEOUT).await?;
+        let connection = open(peer, ORDER_TIMEOUT, Box::new(is_wanted.clone())).await?;
         if wants_pause() {
             return Err(paused());
         }
