Tell silences of upstreams apart in the log and in the metrics

A silence that ended a stream was logged like any other break. A line and a counter now say whether it was handed over or cut. No change of behaviour.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub sends: IntCounterVec,
     /// Responses that broke off, by the result of probing their upstream with a new connection.
     pub breaks: IntCounterVec,
+    /// Silences of upstreams in a stream that outlasted the stall timeout, by how they ended.
+    pub silences: IntCounterVec,
     /// This host's requests for tokens, by the leader's answer.
     pub grants: IntCounterVec,
     /// Requests for permits to send to upstreams with a rate limit, by outcome.
@@ -91,6 +93,11 @@
                 "Responses that broke off, by the result of probing the upstream.",
                 &["connection"],
             )?,
+            silences: counter(
+                "dotterellane_silences_total",
+                "Silences of upstreams in a stream, by how they ended.",
+                &["end"],
+            )?,
             grants: counter(
                 "dotterellane_grants_total",
                 "Requests for tokens, by the leader's answer.",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -42,8 +42,10 @@
     Complete,
     /// The caller closed its connection.
     CallerDisconnected,
-    /// The runner broke the stream off, stalled, or sent something invalid; holds the cause.
+    /// The runner broke the stream off or sent something invalid; holds the cause.
     Broken(String),
+    /// The runner sent no event for this time.
+    Silent(Duration),
     /// The deadline passed.
     DeadlineExceeded,
 }
@@ -92,6 +94,15 @@
     !framed && kind.starts_with(b"text/event-stream")
 }
 
+/// Returns the cause of a break, for logs.
+fn cause_of(end: SegmentEnd) -> String {
+    match end {
+        SegmentEnd::Broken(cause) => cause,
+        SegmentEnd::Silent(longest) => format!("no event for {longest:?}"),
+        end => format!("{end:?}"),
+    }
+}
+
 impl StreamRelay {
     async fn run(mut self, selected: SelectedUpstream, head: Response<Incoming>) {
         let mut segment = Some((selected, head));
@@ -119,18 +130,34 @@
                     self.log(name.as_str(), "deadline exceeded");
                     break;
                 }
-                SegmentEnd::Broken(cause) => {
-                    self.log(name.as_str(), &cause);
+                end @ (SegmentEnd::Broken(_) | SegmentEnd::Silent(_)) => {
+                    let silence = matches!(end, SegmentEnd::Silent(_));
+                    self.log(name.as_str(), &cause_of(end));
                     self.host.state().directory.note_failure(self.host.now(), &name);
                     check_for_crash(&self.host, selected.in_flight, address);
                     drop(selected.running_guard);
                     segment = self.resume().await;
+                    if silence {
+                        self.log_silence(name.as_str(), segment.is_some());
+                    }
                 }
             }
         }
         let _gone = self.chunks.send(Err(BrokenResponse)).await;
     }
 
+    fn log_silence(&self, upstream: &str, resumed: bool) {
+        let end = if resumed { "handed_over" } else { "cut" };
+        self.host.metrics.silences.with_label_values(&[end]).inc();
+        spdlog::info!("silence in a stream ended", kv: {
+            request = self.call.head.request_id.as_str(),
+            upstream = upstream,
+            end = end,
+            runs = self.progress.runs,
+            after_ms = self.host.now().since(self.call.arrived).as_millis() as u64,
+        });
+    }
+
     fn log(&self, upstream: &str, cause: &str) {
         spdlog::info!("stream broke", kv: {
             request = self.call.head.request_id.as_str(),
@@ -171,7 +198,7 @@
             };
             let data = match frame {
                 Err(_elapsed) if gap == left => return SegmentEnd::DeadlineExceeded,
-                Err(_elapsed) => return SegmentEnd::Broken(format!("no event for {longest:?}")),
+                Err(_elapsed) => return SegmentEnd::Silent(longest),
                 Ok(None) if ends_with_event && !tail.is_between_events() => {
                     return SegmentEnd::Broken(
                         "connection closed in the middle of an event".into(),
