Keep a silent upstream's answer until another upstream has one

Callers saw a sound stream cut after its upstream had been silent for 1.5 s, and a response lost after a silence before its head. The relay let go of the silent upstream before it knew of another that could take over; no place, no retry budget, attempts used up, an error there, or a configuration that no longer admits the request then ended the answer.

Another upstream is now asked beside the silent one, in streams and before the head by the same function. The silent one is never selected for that, and is read meanwhile. A search that finds nobody ends itself alone, and is made again each 500 ms. The other one takes over with its first event, or 250 ms after its head; from its head on the silent one's events are not taken, as both would run on otherwise. A silent upstream counts as failed only once it is replaced, breaks off, refuses a new connection or was restarted. A run counts from when it is sent, so that one that is dropped counts too. A search registers no demand for the model and waits for no place.

--- /dev/null
+++ b/crates/gateway/src/beside.rs
@@ -0,0 +1,180 @@
+//! Asks another upstream for a response while the one before is silent.
+//!
+//! Silence does not show that an upstream is gone, so its response is given up only once another
+//! upstream responds, or once the silent one is shown to be gone.
+
+use std::io::ErrorKind;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterellane_upstream::connect::connect_tcp;
+use http::Response;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::crashes::check_for_crash;
+use crate::dispatch::{RequestProgress, SendOutcome, send_once};
+use crate::handler::{Admission, GatewayCall};
+use crate::peeked::PeekedBody;
+use crate::selection::{SelectedUpstream, select_upstream};
+use crate::state::Host;
+
+/// Interval between two searches for another upstream while one is silent.
+pub const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for which the silent upstream is kept after the head of the one that takes a stream over.
+const HANDOVER_OVERLAP: Duration = Duration::from_millis(250);
+
+/// Maximum number of upstreams in one search that turn out to be unreachable.
+const MAX_UNREACHABLE: u32 = 3;
+
+/// Time within which a live upstream accepts a connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// An upstream that is at work on the request but silent.
+#[derive(Clone, Copy, Debug)]
+pub struct SilentUpstream<'a> {
+    /// The upstream.
+    pub selected: &'a SelectedUpstream,
+    /// Whether a new connection is to show whether it is gone.
+    pub probes: bool,
+}
+
+/// What came of asking another upstream beside a silent one.
+#[derive(Debug)]
+pub struct BesideEnd<T> {
+    /// What the silent upstream sent meanwhile.
+    pub first: Option<T>,
+    /// Whether the silent upstream was shown to be gone.
+    pub gone: bool,
+    /// The other upstream with the head of its successful response.
+    pub other: Option<(SelectedUpstream, Response<PeekedBody>)>,
+}
+
+/// Asks one other upstream while `first`, the next thing that the upstream `silent` sends, is
+/// awaited. Returns as soon as `first` yields something that `is_sound`, or the other upstream has
+/// responded or refused. The other's attempt is dropped in the first case, and still counts. A
+/// stream counts as a response from its first event on, or [`HANDOVER_OVERLAP`] after its head; until
+/// then, the silent upstream's connection is only kept in case the other one breaks off.
+pub async fn ask_beside<T, F, S>(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    admission: &Admission,
+    progress: &mut RequestProgress,
+    silent: SilentUpstream<'_>,
+    first: F,
+    is_sound: S,
+) -> BesideEnd<T>
+where
+    F: Future<Output = T>,
+    S: Fn(&T) -> bool,
+{
+    let mut end = BesideEnd { first: None, gone: false, other: None };
+    let mut probing = silent.probes;
+    progress.silent = Some(silent.selected.name.clone());
+    {
+        let mut asking = pin!(ask_other(host, call, admission.clone(), progress));
+        let mut other = None;
+        let mut overlap = pin!(sleep(HANDOVER_OVERLAP));
+        let is_stream = admission.route.kind.is_stream();
+        let mut probe = pin!(is_gone(host, silent.selected));
+        let mut first = pin!(first);
+        loop {
+            tokio::select! {
+                biased;
+                next = &mut first, if end.first.is_none() && !end.gone && other.is_none() => {
+                    let sound = is_sound(&next);
+                    end.first = Some(next);
+                    if sound {
+                        break;
+                    }
+                }
+                gone = &mut probe, if probing => {
+                    probing = false;
+                    end.gone = gone;
+                }
+                asked = &mut asking, if other.is_none() => match asked {
+                    Some(asked) if is_stream && end.first.is_none() && !end.gone => {
+                        other = Some(asked);
+                        overlap.as_mut().reset(Instant::now() + HANDOVER_OVERLAP);
+                    }
+                    asked => {
+                        end.other = asked;
+                        break;
+                    }
+                },
+                begun = await_event(&mut other), if other.is_some() => {
+                    match other.take() {
+                        Some(asked) if begun => end.other = Some(asked),
+                        Some((selected, _)) => note_replaced(host, selected),
+                        None => {}
+                    }
+                    break;
+                }
+                () = &mut overlap, if other.is_some() => {
+                    end.other = other.take();
+                    break;
+                }
+            }
+        }
+    }
+    progress.silent = None;
+    progress.retry = None;
+    end
+}
+
+/// Waits until the stream of the other upstream has begun; returns `false` if it broke off before.
+async fn await_event(other: &mut Option<(SelectedUpstream, Response<PeekedBody>)>) -> bool {
+    match other {
+        Some((_, head)) => head.body_mut().await_event().await,
+        None => false,
+    }
+}
+
+/// Records that an upstream was replaced as it was silent or broke its response off.
+pub fn note_replaced(host: &Arc<Host>, replaced: SelectedUpstream) {
+    host.state().directory.note_failure(host.now(), &replaced.name);
+    check_for_crash(host, replaced.in_flight, replaced.address);
+}
+
+/// Sends the request to another upstream that can run it now; `None` if none responds with success.
+async fn ask_other(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    mut admission: Admission,
+    progress: &mut RequestProgress,
+) -> Option<(SelectedUpstream, Response<PeekedBody>)> {
+    let kind = admission.route.kind;
+    for _ in 0..MAX_UNREACHABLE {
+        if !progress.try_reserve_rerun(host, &admission) {
+            return None;
+        }
+        let selected = select_upstream(host, call, &mut admission, progress).await.ok()?;
+        // The configuration may have changed.
+        if admission.route.kind != kind {
+            return None;
+        }
+        match send_once(host, call, &admission, progress, selected).await {
+            SendOutcome::Head(selected, head) if head.status().is_success() => {
+                return Some((selected, *head));
+            }
+            SendOutcome::NotSent => {}
+            SendOutcome::Head(..) | SendOutcome::NotRun(_) | SendOutcome::Broken(_) => return None,
+        }
+    }
+    None
+}
+
+/// Returns whether an upstream was restarted, or refuses a new connection as nothing listens there.
+async fn is_gone(host: &Host, upstream: &SelectedUpstream) -> bool {
+    let restarted = {
+        let state = host.state();
+        let known = state.directory.get(&upstream.name);
+        known.is_some_and(|known| known.entry.report.started_at != upstream.started_at)
+    };
+    let refused = match timeout(PROBE_TIMEOUT, connect_tcp(upstream.address)).await {
+        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    };
+    restarted || refused
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -10,10 +10,13 @@
 use bytes::Bytes;
 use dotterellane_decisions::quarantine::RequestFingerprint;
 use dotterellane_units::{ClockInstant, ServiceId, UpstreamId};
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use crate::beside::{SEARCH_INTERVAL, SilentUpstream, ask_beside, note_replaced};
 use crate::body::GatewayBody;
 use crate::call::{ResponseKind, SendHead};
 use crate::crashes::{check_for_crash, fingerprint_of};
@@ -22,6 +25,7 @@
 use crate::exchange::{Exchange, ExchangeError, exchange, read_whole};
 use crate::handler::{Admission, GatewayCall, admit, model_text};
 use crate::notices::{self, NoticeSource};
+use crate::peeked::PeekedBody;
 use crate::permits::{SendTarget, is_permitted, open};
 use crate::refusal::GatewayRefusal;
 use crate::relay::start_relay;
@@ -34,11 +38,11 @@
 /// Delay before the next attempt after an upstream was busy.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(40);
 
-/// Maximum wait for a response head before a repeatable call is tried on another upstream.
+/// Maximum wait for a response head before another upstream is tried beside, for repeatable calls.
 const MAX_HEAD_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Fraction of the remaining time, or of a stream's idle timeout, for which a response head is
-/// awaited before another upstream is tried.
+/// awaited before another upstream is tried beside.
 const HEAD_WAIT_FRACTION: f64 = 0.5;
 
 /// Maximum number of attempts per request, including those that an upstream refused to run.
@@ -58,8 +62,11 @@
     pub tried: Vec<UpstreamId>,
     /// Number of attempts on which the request was sent.
     pub sends: u32,
-    /// Number of attempts in which the request may have run.
+    /// Number of attempts in which the request may have run; counted when it is sent, and taken
+    /// back if the upstream shows that it did not run.
     pub runs: u32,
+    /// Upstream that is at work on the request but silent; no other attempt goes there.
+    pub silent: Option<UpstreamId>,
     /// Id of the last event that the caller has received, for resuming a stream.
     pub last_event: Option<HeaderValue>,
     /// Identifies the request and its repetitions for the crash quarantine.
@@ -85,7 +92,7 @@
 #[derive(Debug)]
 pub enum SendOutcome {
     /// The upstream ran the request and sent a response head.
-    Head(SelectedUpstream, Box<Response<Incoming>>),
+    Head(SelectedUpstream, Box<Response<PeekedBody>>),
     /// No byte of the request was sent; it may be sent to another upstream.
     NotSent,
     /// The upstream did not run the request; it may be sent to another one after this delay.
@@ -124,7 +131,7 @@
                     response.extensions_mut().insert(trace);
                     return Ok(response);
                 }
-                match read_response(host, call, &mut progress, selected, *head).await {
+                match read_response(host, call, &progress, selected, *head).await {
                     Some(mut response) => {
                         response.extensions_mut().insert(trace);
                         let failed = response.status().is_server_error();
@@ -177,6 +184,7 @@
         tried: Vec::new(),
         sends: 0,
         runs: 0,
+        silent: None,
         last_event: call.head.last_event.clone(),
         fingerprint,
         retry: None,
@@ -230,7 +238,18 @@
     }
 }
 
-/// Makes one attempt: sends the request to `selected` and waits for the response head.
+/// A response head, or why none arrived.
+type SentHead = Result<Response<Incoming>, ExchangeError>;
+
+/// A request that was sent, whose response head is still to come.
+struct PendingSend {
+    selected: SelectedUpstream,
+    asked_at: ClockInstant,
+    head: BoxFuture<'static, SentHead>,
+}
+
+/// Makes one attempt: sends the request to `selected` and waits for the response head. While the
+/// upstream is silent for long, another one is asked beside it; the first to respond counts.
 pub async fn send(
     host: &Arc<Host>,
     call: &Arc<GatewayCall>,
@@ -238,26 +257,112 @@
     progress: &mut RequestProgress,
     selected: SelectedUpstream,
 ) -> SendOutcome {
-    let Some(remaining) = progress.remaining(host) else {
-        return SendOutcome::NotSent;
-    };
-    let head = SendHead {
-        upstream: &selected.name,
-        remaining,
-        team: admission.team.as_ref().map(|(team, _)| team),
-        priority: call.head.model.as_ref().map(|_| admission.priority()),
-        last_event: progress.last_event.as_ref(),
+    let mut patience = head_patience(host, admission, progress, &selected);
+    let mut pending = match start_send(host, call, admission, progress, selected).await {
+        Ok(pending) => pending,
+        Err(outcome) => return outcome,
     };
+    let mut probes = true;
+    loop {
+        if let Ok(sent) = timeout(patience, &mut pending.head).await {
+            if !probes {
+                note_silence(host, call, &pending.selected.name, "waited_out");
+            }
+            return classify(host, call, progress, pending.selected, pending.asked_at, sent);
+        }
+        let PendingSend { selected, head, .. } = &mut pending;
+        let silent = SilentUpstream { selected, probes };
+        let is_sound =
+            |sent: &SentHead| matches!(sent, Ok(response) if response.status().is_success());
+        let end = ask_beside(host, call, admission, progress, silent, head, is_sound).await;
+        probes = false;
+        let how = match (&end.first, &end.other) {
+            (_, Some(_)) => "handed_over",
+            (Some(Ok(_)), None) => "waited_out",
+            (Some(Err(_)), None) => "broke",
+            (None, None) if end.gone => "gone",
+            (None, None) => {
+                patience = SEARCH_INTERVAL;
+                continue;
+            }
+        };
+        let PendingSend { selected, asked_at, head } = pending;
+        drop(head);
+        note_silence(host, call, &selected.name, how);
+        let own = match end.first {
+            Some(sent) => classify(host, call, progress, selected, asked_at, sent),
+            None => {
+                note_replaced(host, selected);
+                SendOutcome::Broken("upstream_silent_or_reset")
+            }
+        };
+        return match end.other {
+            Some((other, head)) => SendOutcome::Head(other, Box::new(head)),
+            None => own,
+        };
+    }
+}
+
+/// Makes one attempt: sends the request to `selected` and waits for the response head until the
+/// deadline.
+pub async fn send_once(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    admission: &Admission,
+    progress: &mut RequestProgress,
+    selected: SelectedUpstream,
+) -> SendOutcome {
+    match start_send(host, call, admission, progress, selected).await {
+        Ok(PendingSend { selected, asked_at, head }) => {
+            let sent = head.await;
+            classify(host, call, progress, selected, asked_at, sent)
+        }
+        Err(outcome) => outcome,
+    }
+}
+
+/// Returns for how long a response head is awaited before another upstream is asked beside.
+fn head_patience(
+    host: &Host,
+    admission: &Admission,
+    progress: &RequestProgress,
+    selected: &SelectedUpstream,
+) -> Duration {
+    let remaining = progress.remaining(host).unwrap_or(MIN_REMAINING);
     // Without another upstream, waiting in this one's queue is better than a second attempt.
     let may_retry = selected.replaceable && progress.runs + 1 < admission.route.attempts;
-    let head_timeout = match admission.route.kind {
+    match admission.route.kind {
         CallKind::Repeatable if may_retry => {
             remaining.mul_f64(HEAD_WAIT_FRACTION).min(MAX_HEAD_WAIT)
         }
         CallKind::ResumableStream if may_retry => {
             remaining.min(admission.route.idle_timeout().mul_f64(HEAD_WAIT_FRACTION))
         }
-        _ => remaining,
+        // The response head is awaited until the deadline.
+        _ => Duration::MAX,
+    }
+}
+
+/// Sends the request to `selected`.
+///
+/// # Errors
+/// Returns the outcome if nothing was sent.
+async fn start_send(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    admission: &Admission,
+    progress: &mut RequestProgress,
+    selected: SelectedUpstream,
+) -> Result<PendingSend, SendOutcome> {
+    let Some(remaining) = progress.remaining(host) else {
+        return Err(SendOutcome::NotSent);
+    };
+    let head = SendHead {
+        upstream: &selected.name,
+        remaining,
+        team: admission.team.as_ref().map(|(team, _)| team),
+        priority: call.head.model.as_ref().map(|_| admission.priority()),
+        last_event: progress.last_event.as_ref(),
     };
     let may_send = {
         let (host, call, name) = (host.clone(), call.clone(), selected.name.clone());
@@ -269,39 +374,52 @@
         started_at: selected.started_at,
         permit: selected.permit.clone(),
     };
-    let opened = open(host, &target, head_timeout, Box::new(may_send.clone())).await;
+    let headers = (host.wire.upstream_headers)(&call.headers, &head);
+    let opened = open(host, &target, remaining, Box::new(may_send.clone())).await;
     // Things may have changed while the connection was established.
     if opened.is_ok() && !(may_send() && is_permitted(host, &target)) {
-        return SendOutcome::NotSent;
+        return Err(SendOutcome::NotSent);
     }
-    let sending = Exchange {
-        method: &call.method,
-        target: &call.target,
-        headers: (host.wire.upstream_headers)(&call.headers, &head),
-        body: call.body.clone(),
-        head_timeout,
-    };
     if opened.is_ok()
         && let Some(retry) = progress.retry.take()
     {
         retry.spend();
     }
+    // Counted before the response arrives, as the attempt may be dropped before.
     progress.sends += 1;
+    progress.runs += 1;
     progress.tried.push(selected.name.clone());
     let asked_at = host.now();
-    let sent = match opened {
-        Ok(connection) => exchange(connection, sending).await,
-        Err(error) => Err(error),
+    let connection = match opened {
+        Ok(connection) => connection,
+        Err(error) => return Err(classify(host, call, progress, selected, asked_at, Err(error))),
     };
-    let outcome = classify(host, call, progress, selected, asked_at, sent);
-    let label = match &outcome {
-        SendOutcome::Head(..) => "answered",
-        SendOutcome::NotSent => "not_sent",
-        SendOutcome::NotRun(_) => "not_run",
-        SendOutcome::Broken(_) => "broken",
+    let head = {
+        let call = call.clone();
+        async move {
+            let sending = Exchange {
+                method: &call.method,
+                target: &call.target,
+                headers,
+                body: call.body.clone(),
+                head_timeout: remaining,
+            };
+            exchange(connection, sending).await
+        }
+        .boxed()
     };
-    host.metrics.sends.with_label_values(&[label]).inc();
-    outcome
+    Ok(PendingSend { selected, asked_at, head })
+}
+
+/// Counts a silence before the response head, and logs how it ended.
+fn note_silence(host: &Host, call: &GatewayCall, upstream: &UpstreamId, end: &str) {
+    host.metrics.silences.with_label_values(&["head", end]).inc();
+    spdlog::info!("silence before a response ended", kv: {
+        request = call.head.request_id.as_str(),
+        upstream = upstream.as_str(),
+        end = end,
+        after_ms = host.now().since(call.arrived).as_millis() as u64,
+    });
 }
 
 /// Returns whether the upstream may still get the request and the configuration still allows it.
@@ -317,7 +435,29 @@
     progress: &mut RequestProgress,
     selected: SelectedUpstream,
     asked_at: ClockInstant,
-    sent: Result<Response<Incoming>, ExchangeError>,
+    sent: SentHead,
+) -> SendOutcome {
+    let outcome = classify_sent(host, call, progress, selected, asked_at, sent);
+    let label = match &outcome {
+        SendOutcome::Head(..) => "answered",
+        SendOutcome::NotSent => "not_sent",
+        SendOutcome::NotRun(_) => "not_run",
+        SendOutcome::Broken(_) => "broken",
+    };
+    host.metrics.sends.with_label_values(&[label]).inc();
+    if matches!(outcome, SendOutcome::NotSent | SendOutcome::NotRun(_)) {
+        progress.runs -= 1;
+    }
+    outcome
+}
+
+fn classify_sent(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    progress: &mut RequestProgress,
+    selected: SelectedUpstream,
+    asked_at: ClockInstant,
+    sent: SentHead,
 ) -> SendOutcome {
     let now = host.now();
     let response = match sent {
@@ -340,7 +480,6 @@
                 }
                 ExchangeError::Broken { .. } => {
                     host.state().directory.note_failure(now, &selected.name);
-                    progress.runs += 1;
                     check_for_crash(host, selected.in_flight, selected.address);
                     SendOutcome::Broken("upstream_silent_or_reset")
                 }
@@ -363,7 +502,7 @@
         notices::record(host, source, response.status(), response.headers());
     }
     match kind {
-        ResponseKind::Run => SendOutcome::Head(selected, Box::new(response)),
+        ResponseKind::Run => SendOutcome::Head(selected, Box::new(response.map(PeekedBody::new))),
         ResponseKind::NotRun => {
             log_attempt(host, call, progress, &selected.name, "upstream did not run the request");
             SendOutcome::NotRun(BUSY_RETRY_DELAY)
@@ -390,7 +529,6 @@
         }
         ResponseKind::Invalid(cause) => {
             log_attempt(host, call, progress, &selected.name, cause);
-            progress.runs += 1;
             SendOutcome::Broken("answer_foreign")
         }
     }
@@ -417,11 +555,10 @@
 async fn read_response(
     host: &Arc<Host>,
     call: &GatewayCall,
-    progress: &mut RequestProgress,
+    progress: &RequestProgress,
     selected: SelectedUpstream,
-    head: Response<Incoming>,
+    head: Response<PeekedBody>,
 ) -> Option<Response<GatewayBody>> {
-    progress.runs += 1;
     let span = progress.remaining(host).unwrap_or(MIN_REMAINING);
     match read_whole(selected.address, head, span, &host.response_memory).await {
         Ok((status, headers, body)) => {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,6 +12,7 @@
 use dotterellane_upstream::head_limit::{HeadLimit, HeadLimited, SendCheck};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -198,12 +199,15 @@
 /// # Errors
 /// Fails if the response breaks off, is too long, is encoded or does not end within `span`, or if
 /// other long responses use all of the shared memory.
-pub async fn read_whole(
+pub async fn read_whole<B>(
     peer: SocketAddr,
-    response: Response<Incoming>,
+    response: Response<B>,
     span: Duration,
     memory: &ResponseMemory,
-) -> Result<(StatusCode, HeaderMap, Bytes), ExchangeError> {
+) -> Result<(StatusCode, HeaderMap, Bytes), ExchangeError>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     let broken = |cause: String| ExchangeError::Broken { step: "read response", peer, cause };
     let (head, body) = response.into_parts();
     if head.headers.contains_key(CONTENT_ENCODING) {
@@ -216,7 +220,10 @@
     Ok((head.status, head.headers, body))
 }
 
-async fn collect(mut body: Incoming, memory: &ResponseMemory) -> Result<Bytes, String> {
+async fn collect<B>(mut body: B, memory: &ResponseMemory) -> Result<Bytes, String>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     let mut reservation = MemoryReservation { memory, held: None, kibibytes: 0 };
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! runners to load and unload models, and grants teams tokens. The platform's names and formats are
 //! confined to a [`call::WireFormat`].
 
+pub mod beside;
 pub mod body;
 pub mod call;
 pub mod crashes;
@@ -21,6 +22,7 @@
 pub mod messages;
 pub mod metrics;
 pub mod notices;
+pub mod peeked;
 pub mod peers;
 pub mod permit_search;
 pub mod permits;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,7 +17,7 @@
     pub sends: IntCounterVec,
     /// Responses that broke off, by the result of probing their upstream with a new connection.
     pub breaks: IntCounterVec,
-    /// Silences of upstreams in a stream that outlasted the stall timeout, by how they ended.
+    /// Silences of upstreams after which another one was sought, by phase and by how they ended.
     pub silences: IntCounterVec,
     /// This host's requests for tokens, by the leader's answer.
     pub grants: IntCounterVec,
@@ -95,8 +95,8 @@
             )?,
             silences: counter(
                 "dotterellane_silences_total",
-                "Silences of upstreams in a stream, by how they ended.",
-                &["end"],
+                "Silences of upstreams, before the head or in a stream, by how they ended.",
+                &["phase", "end"],
             )?,
             grants: counter(
                 "dotterellane_grants_total",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,42 +1,75 @@
 //! Relays a stream of events to the caller as it arrives.
 //!
 //! If the runner fails and the route allows it, another runner resumes the stream after the last
-//! event that was passed on. The part of a stream that comes from one runner is a segment.
+//! event that was passed on. The part of a stream that comes from one runner is a segment. A runner
+//! that is only silent is replaced once another one has resumed the stream.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use dotterellane_units::ClockInstant;
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
+use crate::beside::{SEARCH_INTERVAL, SilentUpstream, ask_beside, note_replaced};
 use crate::body::{BrokenResponse, GatewayBody, ResponseChunk};
-use crate::crashes::check_for_crash;
 use crate::dispatch::{RequestProgress, SendOutcome, send};
 use crate::document::CallKind;
 use crate::events::{EventFramer, EventTail, ResumePoint};
 use crate::handler::{Admission, GatewayCall, model_text};
+use crate::peeked::PeekedBody;
 use crate::selection::{SelectedUpstream, select_upstream};
 use crate::state::Host;
 
 /// Number of chunks queued for a caller that reads slowly.
 const QUEUED_CHUNKS: usize = 8;
 
-/// Minimum time without an event after which another runner resumes the stream.
+/// Minimum time without an event after which another runner is asked to resume the stream.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time without an event after which another runner resumes the stream, in multiples of the route's
-/// event gap; the longer of both times applies.
+/// Time without an event after which another runner is asked to resume the stream, in multiples of
+/// the route's event gap; the longer of both times applies.
 const STALL_EVENT_GAPS: u32 = 5;
 
 /// Time beyond the deadline in which a stream that is still flowing may end.
 const DEADLINE_GRACE: Duration = Duration::from_millis(250);
 
+/// The part of a stream that comes from one runner.
+struct Segment {
+    selected: SelectedUpstream,
+    source: SegmentSource,
+    /// When another runner was first sought as this one was silent.
+    silent_since: Option<ClockInstant>,
+}
+
+/// Reads the events of a segment.
+struct SegmentSource {
+    body: PeekedBody,
+    framer: EventFramer,
+    tail: EventTail,
+    /// Whether the response can only be recognized as complete by the end of its last event.
+    ends_with_event: bool,
+    /// Whether only complete events are passed on, so that another runner can resume the stream.
+    resumable: bool,
+    /// What was read already.
+    read_ahead: Option<StreamPiece>,
+}
+
+/// The next piece of a segment.
+enum StreamPiece {
+    /// Data to pass on: complete events if the stream can be resumed.
+    Data(Bytes),
+    /// The stream is complete.
+    Complete,
+    /// The runner broke the stream off or sent something invalid; holds the cause.
+    Broken(String),
+}
+
 /// Why a segment of a stream ended.
-#[derive(Clone, Debug)]
 enum SegmentEnd {
     /// The stream is complete.
     Complete,
@@ -44,18 +77,27 @@
     CallerDisconnected,
     /// The runner broke the stream off or sent something invalid; holds the cause.
     Broken(String),
-    /// The runner sent no event for this time.
-    Silent(Duration),
+    /// The runner was silent, and this segment resumes the stream.
+    Replaced(Box<Segment>),
     /// The deadline passed.
     DeadlineExceeded,
 }
 
+/// What came of a search for another runner beside a silent one.
+enum SearchEnd {
+    /// The silent runner went on with this.
+    Piece(StreamPiece),
+    /// No other runner resumes the stream now.
+    Nobody,
+    /// The segment ended.
+    Ended(SegmentEnd),
+}
+
 struct StreamRelay {
     host: Arc<Host>,
     call: Arc<GatewayCall>,
     admission: Admission,
     progress: RequestProgress,
-    framer: EventFramer,
     chunks: mpsc::Sender<ResponseChunk>,
 }
 
@@ -64,24 +106,18 @@
     host: &Arc<Host>,
     call: &Arc<GatewayCall>,
     admission: Admission,
-    mut progress: RequestProgress,
+    progress: RequestProgress,
     selected: SelectedUpstream,
-    head: Response<Incoming>,
+    head: Response<PeekedBody>,
 ) -> Response<GatewayBody> {
     let (chunks, received) = mpsc::channel(QUEUED_CHUNKS);
     let mut response = Response::new(GatewayBody::Chunks(received));
     *response.status_mut() = head.status();
     *response.headers_mut() = (host.wire.caller_headers)(head.headers());
-    progress.runs += 1;
-    let relay = StreamRelay {
-        host: host.clone(),
-        call: call.clone(),
-        admission,
-        progress,
-        framer: EventFramer::default(),
-        chunks,
-    };
-    host.tasks.spawn(relay.run(selected, head));
+    let resumable = admission.route.kind == CallKind::ResumableStream;
+    let segment = Segment::new(selected, head, EventFramer::default(), resumable);
+    let relay = StreamRelay { host: host.clone(), call: call.clone(), admission, progress, chunks };
+    host.tasks.spawn(relay.run(segment));
     response
 }
 
@@ -94,95 +130,184 @@
     !framed && kind.starts_with(b"text/event-stream")
 }
 
-/// Returns the cause of a break, for logs.
-fn cause_of(end: SegmentEnd) -> String {
-    match end {
-        SegmentEnd::Broken(cause) => cause,
-        SegmentEnd::Silent(longest) => format!("no event for {longest:?}"),
-        end => format!("{end:?}"),
+impl Segment {
+    /// Creates a segment; `framer` knows the events that were passed on before.
+    fn new(
+        selected: SelectedUpstream,
+        head: Response<PeekedBody>,
+        mut framer: EventFramer,
+        resumable: bool,
+    ) -> Self {
+        framer.discard();
+        let is_encoded = head.headers().contains_key(CONTENT_ENCODING);
+        let cause = || StreamPiece::Broken("unexpected content-encoding".to_owned());
+        let source = SegmentSource {
+            ends_with_event: ends_with_event(head.headers()),
+            body: head.into_body(),
+            framer,
+            tail: EventTail::default(),
+            resumable,
+            read_ahead: is_encoded.then(cause),
+        };
+        Self { selected, source, silent_since: None }
+    }
+}
+
+impl SegmentSource {
+    /// Reads until there is something to pass on. Nothing is lost if the future is dropped.
+    async fn read(&mut self) -> StreamPiece {
+        if let Some(piece) = self.read_ahead.take() {
+            return piece;
+        }
+        loop {
+            let data = match self.body.frame().await {
+                None => return self.end(),
+                Some(Err(error)) => return StreamPiece::Broken(error.to_string()),
+                // Trailers are not passed on.
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            if self.ends_with_event {
+                self.tail.push(&data);
+            }
+            let data = if self.resumable { self.framer.push(&data) } else { data };
+            if self.framer.is_overlong() {
+                return StreamPiece::Broken("event is too long".to_owned());
+            }
+            if !data.is_empty() {
+                return StreamPiece::Data(data);
+            }
+        }
+    }
+
+    /// Returns what the end of the body means.
+    fn end(&self) -> StreamPiece {
+        if self.ends_with_event && !self.tail.is_between_events() {
+            return StreamPiece::Broken("stream ends in the middle of an event".to_owned());
+        }
+        StreamPiece::Complete
+    }
+
+    /// Returns whether another runner can resume the stream.
+    fn may_resume(&self) -> bool {
+        self.resumable && *self.framer.resume_point() != ResumePoint::Nowhere
     }
 }
 
 impl StreamRelay {
-    async fn run(mut self, selected: SelectedUpstream, head: Response<Incoming>) {
-        let mut segment = Some((selected, head));
-        while let Some((selected, head)) = segment.take() {
-            let (name, address) = (selected.name.clone(), selected.address);
-            match self.relay_segment(head).await {
+    async fn run(mut self, segment: Segment) {
+        if !self.relay(segment).await {
+            let _gone = self.chunks.send(Err(BrokenResponse)).await;
+        }
+    }
+
+    /// Relays the stream from one runner after the other; returns `false` if it breaks off.
+    async fn relay(&mut self, mut segment: Segment) -> bool {
+        loop {
+            let end = self.relay_segment(&mut segment).await;
+            self.note_silence_end(&mut segment, &end);
+            match end {
                 SegmentEnd::Complete => {
-                    spdlog::info!("stream completed", kv: {
-                        request = self.call.head.request_id.as_str(),
-                        upstream = name.as_str(),
-                        after_ms = self.host.now().since(self.call.arrived).as_millis() as u64,
-                    });
-                    selected.in_flight.completed();
-                    let remainder = self.framer.take_remainder();
-                    if !remainder.is_empty() {
-                        let _gone = self.chunks.send(Ok(remainder)).await;
-                    }
-                    return;
+                    self.complete(segment).await;
+                    return true;
                 }
                 SegmentEnd::CallerDisconnected => {
-                    self.log(name.as_str(), "caller disconnected");
-                    return;
+                    self.log(&segment, "caller disconnected");
+                    return true;
                 }
                 SegmentEnd::DeadlineExceeded => {
-                    self.log(name.as_str(), "deadline exceeded");
-                    break;
+                    self.log(&segment, "deadline exceeded");
+                    return false;
+                }
+                SegmentEnd::Replaced(next) => {
+                    self.log(&segment, "silent, and resumed by another upstream");
+                    self.release(segment);
+                    segment = *next;
                 }
-                end @ (SegmentEnd::Broken(_) | SegmentEnd::Silent(_)) => {
-                    let silence = matches!(end, SegmentEnd::Silent(_));
-                    self.log(name.as_str(), &cause_of(end));
-                    self.host.state().directory.note_failure(self.host.now(), &name);
-                    check_for_crash(&self.host, selected.in_flight, address);
-                    drop(selected.running_guard);
-                    segment = self.resume().await;
-                    if silence {
-                        self.log_silence(name.as_str(), segment.is_some());
+                SegmentEnd::Broken(cause) => {
+                    self.log(&segment, &cause);
+                    let framer = self.release(segment);
+                    match self.resume(framer).await {
+                        Some(next) => segment = next,
+                        None => return false,
                     }
                 }
             }
         }
-        let _gone = self.chunks.send(Err(BrokenResponse)).await;
     }
 
-    fn log_silence(&self, upstream: &str, resumed: bool) {
-        let end = if resumed { "handed_over" } else { "cut" };
-        self.host.metrics.silences.with_label_values(&[end]).inc();
+    /// Records that a stream is complete, and passes on what follows its last event.
+    async fn complete(&self, segment: Segment) {
+        let Segment { selected, mut source, .. } = segment;
+        spdlog::info!("stream completed", kv: {
+            request = self.call.head.request_id.as_str(),
+            upstream = selected.name.as_str(),
+            after_ms = self.host.now().since(self.call.arrived).as_millis() as u64,
+        });
+        selected.in_flight.completed();
+        let remainder = source.framer.take_remainder();
+        if !remainder.is_empty() {
+            let _gone = self.chunks.send(Ok(remainder)).await;
+        }
+    }
+
+    /// Lets go of a runner that failed; returns what is known of the events passed on.
+    fn release(&self, segment: Segment) -> EventFramer {
+        let Segment { selected, source, .. } = segment;
+        let SegmentSource { body, framer, .. } = source;
+        drop(body);
+        note_replaced(&self.host, selected);
+        framer
+    }
+
+    /// Counts and logs the end of a silence that ended the segment.
+    fn note_silence_end(&self, segment: &mut Segment, end: &SegmentEnd) {
+        let how = match end {
+            SegmentEnd::Complete => "waited_out",
+            SegmentEnd::Replaced(_) => "handed_over",
+            SegmentEnd::Broken(_) => "broke",
+            SegmentEnd::CallerDisconnected => "caller_left",
+            SegmentEnd::DeadlineExceeded => "cut",
+        };
+        self.note_silence(segment, how);
+    }
+
+    /// Counts and logs the end of a silence, if there was one.
+    fn note_silence(&self, segment: &mut Segment, end: &str) {
+        let Some(since) = segment.silent_since.take() else { return };
+        let now = self.host.now();
+        self.host.metrics.silences.with_label_values(&["stream", end]).inc();
         spdlog::info!("silence in a stream ended", kv: {
             request = self.call.head.request_id.as_str(),
-            upstream = upstream,
+            upstream = segment.selected.name.as_str(),
             end = end,
             runs = self.progress.runs,
-            after_ms = self.host.now().since(self.call.arrived).as_millis() as u64,
+            search_ms = now.since(since).as_millis() as u64,
+            after_ms = now.since(self.call.arrived).as_millis() as u64,
         });
     }
 
-    fn log(&self, upstream: &str, cause: &str) {
+    fn log(&self, segment: &Segment, cause: &str) {
+        self.log_break(segment.selected.name.as_str(), &segment.source.framer, cause);
+    }
+
+    fn log_break(&self, upstream: &str, framer: &EventFramer, cause: &str) {
         spdlog::info!("stream broke", kv: {
             request = self.call.head.request_id.as_str(),
             upstream = upstream,
             model = model_text(self.call.head.model.as_ref()).as_str(),
             cause = cause,
-            last_event = self.framer.last_id().unwrap_or(""),
+            last_event = framer.last_id().unwrap_or(""),
             after_ms = self.host.now().since(self.call.arrived).as_millis() as u64,
         });
     }
 
     /// Relays what one runner sends.
-    async fn relay_segment(&mut self, head: Response<Incoming>) -> SegmentEnd {
-        if head.headers().contains_key(CONTENT_ENCODING) {
-            return SegmentEnd::Broken("unexpected content-encoding".into());
-        }
-        let resumable = self.admission.route.kind == CallKind::ResumableStream;
-        let ends_with_event = ends_with_event(head.headers());
-        let mut tail = EventTail::default();
-        let mut body = head.into_body();
+    async fn relay_segment(&mut self, segment: &mut Segment) -> SegmentEnd {
         let end = self.progress.deadline + DEADLINE_GRACE;
         let longest = MIN_STALL_TIMEOUT.max(self.admission.route.event_gap * STALL_EVENT_GAPS);
         // Only complete events reset the stall timeout: a stalled runner may still send single
         // bytes.
-        let mut last_event = self.host.now();
+        let mut search_at = self.host.now() + longest;
         loop {
             let now = self.host.now();
             let left = end.since(now);
@@ -190,82 +315,124 @@
             if left.is_zero() {
                 return SegmentEnd::DeadlineExceeded;
             }
-            let stall = (last_event + longest).since(now);
-            let gap = if resumable { stall.min(left) } else { left };
-            let frame = tokio::select! {
-                frame = timeout(gap, body.frame()) => frame,
+            let until_search =
+                if segment.source.may_resume() { search_at.since(now).min(left) } else { left };
+            let read = tokio::select! {
+                read = timeout(until_search, segment.source.read()) => read.ok(),
                 () = self.chunks.closed() => return SegmentEnd::CallerDisconnected,
             };
-            let data = match frame {
-                Err(_elapsed) if gap == left => return SegmentEnd::DeadlineExceeded,
-                Err(_elapsed) => return SegmentEnd::Silent(longest),
-                Ok(None) if ends_with_event && !tail.is_between_events() => {
-                    return SegmentEnd::Broken(
-                        "connection closed in the middle of an event".into(),
-                    );
-                }
-                Ok(None) => return SegmentEnd::Complete,
-                Ok(Some(Err(error))) => return SegmentEnd::Broken(error.to_string()),
-                // Trailers are not passed on.
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            let piece = match read {
+                Some(piece) => piece,
+                None if until_search == left => return SegmentEnd::DeadlineExceeded,
+                None => match self.search_beside(segment, left).await {
+                    SearchEnd::Piece(piece) => piece,
+                    SearchEnd::Ended(end) => return end,
+                    SearchEnd::Nobody => {
+                        search_at = self.host.now() + SEARCH_INTERVAL;
+                        continue;
+                    }
+                },
             };
-            if ends_with_event {
-                tail.push(&data);
-            }
-            let events = if resumable { self.framer.push(&data) } else { data };
-            if self.framer.is_overlong() {
-                return SegmentEnd::Broken("event is too long".into());
-            }
-            if events.is_empty() {
-                continue;
-            }
+            let data = match piece {
+                StreamPiece::Data(data) => data,
+                StreamPiece::Complete => return SegmentEnd::Complete,
+                StreamPiece::Broken(cause) => return SegmentEnd::Broken(cause),
+            };
+            self.note_silence(segment, "waited_out");
             // Without this timeout, a caller that does not read would occupy its runner past the
             // deadline.
-            match timeout(end.since(self.host.now()), self.chunks.send(Ok(events))).await {
-                Ok(Ok(())) => last_event = self.host.now(),
+            match timeout(end.since(self.host.now()), self.chunks.send(Ok(data))).await {
+                Ok(Ok(())) => search_at = self.host.now() + longest,
                 Ok(Err(_closed)) => return SegmentEnd::CallerDisconnected,
                 Err(_elapsed) => return SegmentEnd::DeadlineExceeded,
             }
         }
     }
 
-    /// Selects another runner that resumes the stream after the last event passed on.
-    async fn resume(&mut self) -> Option<(SelectedUpstream, Response<Incoming>)> {
-        self.framer.discard();
-        match self.framer.resume_point() {
-            ResumePoint::Beginning => {}
-            ResumePoint::After(id) => self.progress.last_event = Some(id.clone()),
-            ResumePoint::Nowhere => {
-                self.log("", "no event of the stream has an id to resume after");
-                return None;
-            }
-        }
+    /// Seeks another runner while the one of `segment` is silent, for `left` at most.
+    async fn search_beside(&mut self, segment: &mut Segment, left: Duration) -> SearchEnd {
         let caller = self.chunks.clone();
         tokio::select! {
-            found = self.reopen() => found,
-            () = caller.closed() => None,
+            biased;
+            end = timeout(left, self.resume_beside(segment)) => {
+                end.unwrap_or(SearchEnd::Ended(SegmentEnd::DeadlineExceeded))
+            }
+            () = caller.closed() => SearchEnd::Ended(SegmentEnd::CallerDisconnected),
+        }
+    }
+
+    /// Asks another runner to resume the stream while the one of `segment` is silent.
+    async fn resume_beside(&mut self, segment: &mut Segment) -> SearchEnd {
+        let probes = segment.silent_since.is_none();
+        segment.silent_since.get_or_insert(self.host.now());
+        self.note_resume_point(&segment.source.framer);
+        let is_sound = |piece: &StreamPiece| !matches!(piece, StreamPiece::Broken(_));
+        let (admission, progress) = (&self.admission, &mut self.progress);
+        let silent = SilentUpstream { selected: &segment.selected, probes };
+        let first = segment.source.read();
+        let (host, call) = (&self.host, &self.call);
+        let end = ask_beside(host, call, admission, progress, silent, first, is_sound).await;
+        match (end.other, end.first) {
+            (Some((selected, head)), _) => {
+                let source = &segment.source;
+                let next = Segment::new(selected, head, source.framer.clone(), source.resumable);
+                SearchEnd::Ended(SegmentEnd::Replaced(Box::new(next)))
+            }
+            (None, Some(piece)) => SearchEnd::Piece(piece),
+            (None, None) if end.gone => {
+                SearchEnd::Piece(StreamPiece::Broken("upstream is silent and gone".to_owned()))
+            }
+            (None, None) => SearchEnd::Nobody,
         }
     }
 
-    async fn reopen(&mut self) -> Option<(SelectedUpstream, Response<Incoming>)> {
+    /// Remembers after which event another runner has to resume; returns whether one can.
+    fn note_resume_point(&mut self, framer: &EventFramer) -> bool {
+        match framer.resume_point() {
+            ResumePoint::Beginning => true,
+            ResumePoint::After(id) => {
+                self.progress.last_event = Some(id.clone());
+                true
+            }
+            ResumePoint::Nowhere => false,
+        }
+    }
+
+    /// Selects another runner that resumes the stream after the last event passed on.
+    async fn resume(&mut self, framer: EventFramer) -> Option<Segment> {
+        if !self.note_resume_point(&framer) {
+            self.log_break("", &framer, "no event of the stream has an id to resume after");
+            return None;
+        }
+        let caller = self.chunks.clone();
+        let (selected, head) = tokio::select! {
+            found = self.reopen(&framer) => found?,
+            () = caller.closed() => return None,
+        };
+        let resumable = self.admission.route.kind == CallKind::ResumableStream;
+        Some(Segment::new(selected, head, framer, resumable))
+    }
+
+    async fn reopen(
+        &mut self,
+        framer: &EventFramer,
+    ) -> Option<(SelectedUpstream, Response<PeekedBody>)> {
         while self.progress.try_reserve_rerun(&self.host, &self.admission) {
             let (host, call) = (self.host.clone(), self.call.clone());
             let selected = select_upstream(&host, &call, &mut self.admission, &self.progress).await;
             let selected = match selected {
                 Ok(selected) => selected,
                 Err(refusal) => {
-                    self.log("", refusal.reason);
+                    self.log_break("", framer, refusal.reason);
                     return None;
                 }
             };
             match send(&host, &call, &self.admission, &mut self.progress, selected).await {
                 SendOutcome::Head(selected, head) if head.status().is_success() => {
-                    self.progress.runs += 1;
                     return Some((selected, *head));
                 }
-                SendOutcome::Head(..) => self.progress.runs += 1,
-                SendOutcome::NotRun(pause) => tokio::time::sleep(pause).await,
-                SendOutcome::NotSent | SendOutcome::Broken(_) => {}
+                SendOutcome::NotRun(pause) => sleep(pause).await,
+                SendOutcome::Head(..) | SendOutcome::NotSent | SendOutcome::Broken(_) => {}
             }
         }
         None
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -63,7 +63,8 @@
     Limited(PermitStep),
 }
 
-/// Selects an upstream that can run the request now; waits for one if there is none.
+/// Selects an upstream that can run the request now; waits for one if there is none, unless an
+/// upstream is at work on the request already.
 ///
 /// # Errors
 /// Fails if there is none in time, or if the configuration no longer allows the request.
@@ -76,7 +77,9 @@
     let mut waiting: Option<WaitingGuard> = None;
     let mut has_waited = false;
     let started = host.now();
-    let latest = started + admission.route.idle_timeout().mul_f64(MAX_WAIT_FRACTION);
+    let may_wait = progress.silent.is_none();
+    let longest = admission.route.idle_timeout().mul_f64(MAX_WAIT_FRACTION);
+    let latest = if may_wait { started + longest } else { started };
     let team = admission.team.as_ref().map(|(team, _)| team.clone());
     let mut search = PermitSearch::new(team, admission.priority(), progress.deadline, latest);
     loop {
@@ -124,6 +127,7 @@
         }
         if let Some(choice) = &call.head.model
             && waiting.is_none()
+            && may_wait
         {
             let worth = call.head.tokens.map_or(1_000, |(prompt, output)| prompt.0 + 10 * output.0);
             let waiting_request = WaitingRequest {
@@ -196,6 +200,7 @@
     let (limited, open): (Vec<UpstreamCandidate>, Vec<UpstreamCandidate>) = state
         .directory
         .usable(&progress.service, now)
+        .filter(|(name, _)| progress.silent.as_ref() != Some(*name))
         .filter(|(_, known)| choice.is_none_or(|choice| known.holds(choice, now)))
         .map(|(name, known)| UpstreamCandidate {
             name: name.clone(),
