Take a stream that ends inside an event for broken off, whatever its framing

Callers got a stream as complete that ended inside an event if it had chunks or a length, or neither a content type nor framing. The relay believed the framing, and asked for the end of an event only where the content type said text/event-stream and there was no framing.

A success on a stream's route without a content type is now a stream of events. One that ends inside an event, or unframed before its first event, is resumed at another upstream, or ends as broken. Lines may end with a carriage return alone, and comments are no events: such streams were cut or held back until their end.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -8,35 +8,54 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Byte sequences that end an event: a blank line.
-const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
+const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
 
 /// Length of the longest of these sequences, in bytes.
-const MAX_EVENT_END_BYTES: usize = 4;
+const MAX_EVENT_END_BYTES: usize = 3;
 
-/// Tracks whether a stream is at the boundary between two events.
+/// Tracks whether a stream is at the boundary between two events. Lines end with a line feed, a
+/// carriage return, or both; lines that begin with a colon are comments.
 #[derive(Clone, Debug, Default)]
 pub struct EventTail {
-    /// Line feeds since the last byte that is not part of a line end.
-    line_ends: usize,
-    has_data: bool,
+    /// Whether the line so far has data.
+    in_line: bool,
+    /// Whether the last byte was a carriage return.
+    after_return: bool,
+    /// Whether an event has begun that has not ended.
+    in_event: bool,
+    has_event: bool,
 }
 
 impl EventTail {
     /// Processes the next data of the stream.
     pub fn push(&mut self, data: &[u8]) {
         for byte in data {
+            let ends_pair = *byte == b'\n' && self.after_return;
+            self.after_return = *byte == b'\r';
             match byte {
-                b'\n' => self.line_ends += 1,
-                b'\r' => {}
-                _ => self.line_ends = 0,
+                // The carriage return before ended the line.
+                b'\n' if ends_pair => {}
+                b'\n' | b'\r' if self.in_line => self.in_line = false,
+                b'\n' | b'\r' => {
+                    self.has_event |= self.in_event;
+                    self.in_event = false;
+                }
+                _ => {
+                    self.in_event |= !self.in_line && *byte != b':';
+                    self.in_line = true;
+                }
             }
         }
-        self.has_data |= !data.is_empty();
     }
 
-    /// Returns whether the stream is empty so far or its last event is complete.
+    /// Returns whether the last event, if there is one, is complete.
     pub fn is_between_events(&self) -> bool {
-        !self.has_data || self.line_ends >= 2
+        !self.in_event
+    }
+
+    /// Returns whether the stream has a complete event.
+    pub fn has_event(&self) -> bool {
+        self.has_event
     }
 }
 
@@ -117,6 +136,6 @@
 }
 
 fn last_event_id(events: &[u8]) -> Option<&[u8]> {
-    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    let mut lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
     lines.find_map(|line| line.strip_prefix(b"id:")).map(<[u8]>::trim_ascii)
 }
--- a/crates/gateway/src/peeked.rs
+++ b/crates/gateway/src/peeked.rs
@@ -19,18 +19,19 @@
 pub struct PeekedBody {
     incoming: Incoming,
     ahead: VecDeque<ReadFrame>,
+    /// State of the stream after what was received ahead.
+    tail: EventTail,
 }
 
 impl PeekedBody {
     /// Creates a body of which nothing was received ahead.
     pub fn new(incoming: Incoming) -> Self {
-        Self { incoming, ahead: VecDeque::new() }
+        Self { incoming, ahead: VecDeque::new(), tail: EventTail::default() }
     }
 
     /// Receives ahead until the first event of a stream or its end; returns `false` if the stream
     /// breaks off before. Nothing is lost if the future is dropped.
     pub async fn await_event(&mut self) -> bool {
-        let mut tail = EventTail::default();
         loop {
             let frame = self.incoming.frame().await;
             let data = match &frame {
@@ -41,11 +42,11 @@
             let is_broken = matches!(frame, Some(Err(_)));
             self.ahead.push_back(frame);
             if is_broken || is_over {
-                return !is_broken && tail.is_between_events();
+                return !is_broken && self.tail.is_between_events();
             }
             let data = data.unwrap_or_default();
-            tail.push(&data);
-            if !data.is_empty() && tail.is_between_events() {
+            self.tail.push(&data);
+            if self.tail.has_event() {
                 return true;
             }
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -51,8 +51,9 @@
     body: PeekedBody,
     framer: EventFramer,
     tail: EventTail,
-    /// Whether the response can only be recognized as complete by the end of its last event.
-    ends_with_event: bool,
+    end_rule: EndRule,
+    /// Whether events were passed on before this segment.
+    resumes: bool,
     /// Whether only complete events are passed on, so that another runner can resume the stream.
     resumable: bool,
     /// What was read already.
@@ -121,13 +122,31 @@
     response
 }
 
-/// Returns whether the response can only be recognized as complete by the end of its last event: a
-/// stream of events that ends when the connection closes also ends that way if its upstream
-/// crashes.
-fn ends_with_event(headers: &HeaderMap) -> bool {
-    let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-    let kind = headers.get(CONTENT_TYPE).map_or(&b""[..], HeaderValue::as_bytes);
-    !framed && kind.starts_with(b"text/event-stream")
+/// How the end of a segment shows that the stream is complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum EndRule {
+    /// By the framing of the response.
+    Framing,
+    /// By its framing, and its last event is complete.
+    FramingAndEvent,
+    /// By an event that is complete: the connection also ends if the upstream crashes.
+    Event,
+}
+
+impl EndRule {
+    /// Returns the rule for a response with these headers. A stream without a content type is one of
+    /// events.
+    fn of(headers: &HeaderMap) -> Self {
+        let framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        let kind = headers.get(CONTENT_TYPE).map_or(&b""[..], HeaderValue::as_bytes);
+        let is_events = kind.is_empty() || kind.starts_with(b"text/event-stream");
+        match (is_events, framed) {
+            (false, _) => Self::Framing,
+            (true, true) => Self::FramingAndEvent,
+            (true, false) => Self::Event,
+        }
+    }
 }
 
 impl Segment {
@@ -142,7 +161,8 @@
         let is_encoded = head.headers().contains_key(CONTENT_ENCODING);
         let cause = || StreamPiece::Broken("unexpected content-encoding".to_owned());
         let source = SegmentSource {
-            ends_with_event: ends_with_event(head.headers()),
+            end_rule: EndRule::of(head.headers()),
+            resumes: *framer.resume_point() != ResumePoint::Beginning,
             body: head.into_body(),
             framer,
             tail: EventTail::default(),
@@ -166,9 +186,7 @@
                 // Trailers are not passed on.
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
-            if self.ends_with_event {
-                self.tail.push(&data);
-            }
+            self.tail.push(&data);
             let data = if self.resumable { self.framer.push(&data) } else { data };
             if self.framer.is_overlong() {
                 return StreamPiece::Broken("event is too long".to_owned());
@@ -181,9 +199,12 @@
 
     /// Returns what the end of the body means.
     fn end(&self) -> StreamPiece {
-        if self.ends_with_event && !self.tail.is_between_events() {
+        if self.end_rule != EndRule::Framing && !self.tail.is_between_events() {
             return StreamPiece::Broken("stream ends in the middle of an event".to_owned());
         }
+        if self.end_rule == EndRule::Event && !self.tail.has_event() && !self.resumes {
+            return StreamPiece::Broken("connection ends before the first event".to_owned());
+        }
         StreamPiece::Complete
     }
 
