Look for a crash as soon as a silent upstream breaks off

If a silent upstream crashed while another one was asked, the crash was told only once that one had answered, as the suspect stayed with the segment. It is now told at once, as for any other break.

--- a/crates/gateway/src/beside.rs
+++ b/crates/gateway/src/beside.rs
@@ -4,10 +4,12 @@
 //! upstream responds, or once the silent one is shown to be gone.
 
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterellane_units::UpstreamId;
 use dotterellane_upstream::connect::connect_tcp;
 use http::Response;
 use tokio::time::{Instant, sleep, timeout};
@@ -32,10 +34,10 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// An upstream that is at work on the request but silent.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub struct SilentUpstream<'a> {
     /// The upstream.
-    pub selected: &'a SelectedUpstream,
+    pub selected: &'a mut SelectedUpstream,
     /// Whether a new connection is to show whether it is gone.
     pub probes: bool,
 }
@@ -77,7 +79,11 @@
         let mut other = None;
         let mut overlap = pin!(sleep(HANDOVER_OVERLAP));
         let is_stream = admission.route.kind.is_stream();
-        let mut probe = pin!(is_gone(host, silent.selected));
+        let (name, address, started_at) = {
+            let SelectedUpstream { name, address, started_at, .. } = &*silent.selected;
+            (name.clone(), *address, *started_at)
+        };
+        let mut probe = pin!(is_gone(host, &name, address, started_at));
         let mut first = pin!(first);
         loop {
             tokio::select! {
@@ -88,10 +94,14 @@
                     if sound {
                         break;
                     }
+                    note_failed(host, silent.selected);
                 }
                 gone = &mut probe, if probing => {
                     probing = false;
                     end.gone = gone;
+                    if gone {
+                        note_failed(host, silent.selected);
+                    }
                 }
                 asked = &mut asking, if other.is_none() => match asked {
                     Some(asked) if is_stream && end.first.is_none() && !end.gone => {
@@ -132,9 +142,15 @@
 }
 
 /// Records that an upstream was replaced as it was silent or broke its response off.
-pub fn note_replaced(host: &Arc<Host>, replaced: SelectedUpstream) {
-    host.state().directory.note_failure(host.now(), &replaced.name);
-    check_for_crash(host, replaced.in_flight, replaced.address);
+pub fn note_replaced(host: &Arc<Host>, mut replaced: SelectedUpstream) {
+    note_failed(host, &mut replaced);
+}
+
+/// Records that an upstream failed the request, and finds out whether it crashed.
+fn note_failed(host: &Arc<Host>, failed: &mut SelectedUpstream) {
+    let Some(in_flight) = failed.in_flight.take() else { return };
+    host.state().directory.note_failure(host.now(), &failed.name);
+    check_for_crash(host, in_flight, failed.address);
 }
 
 /// Sends the request to another upstream that can run it now; `None` if none responds with success.
@@ -165,14 +181,15 @@
     None
 }
 
-/// Returns whether an upstream was restarted, or refuses a new connection as nothing listens there.
-async fn is_gone(host: &Host, upstream: &SelectedUpstream) -> bool {
+/// Returns whether an upstream was restarted since `started_at`, or refuses a new connection as
+/// nothing listens at its address.
+async fn is_gone(host: &Host, name: &UpstreamId, address: SocketAddr, started_at: u64) -> bool {
     let restarted = {
         let state = host.state();
-        let known = state.directory.get(&upstream.name);
-        known.is_some_and(|known| known.entry.report.started_at != upstream.started_at)
+        let known = state.directory.get(name);
+        known.is_some_and(|known| known.entry.report.started_at != started_at)
     };
-    let refused = match timeout(PROBE_TIMEOUT, connect_tcp(upstream.address)).await {
+    let refused = match timeout(PROBE_TIMEOUT, connect_tcp(address)).await {
         Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
     };
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -479,8 +479,7 @@
                     SendOutcome::NotSent
                 }
                 ExchangeError::Broken { .. } => {
-                    host.state().directory.note_failure(now, &selected.name);
-                    check_for_crash(host, selected.in_flight, selected.address);
+                    note_replaced(host, selected);
                     SendOutcome::Broken("upstream_silent_or_reset")
                 }
             };
@@ -562,14 +561,18 @@
     let span = progress.remaining(host).unwrap_or(MIN_REMAINING);
     match read_whole(selected.address, head, span, &host.response_memory).await {
         Ok((status, headers, body)) => {
-            if status.is_success() {
-                selected.in_flight.completed();
+            if status.is_success()
+                && let Some(in_flight) = selected.in_flight
+            {
+                in_flight.completed();
             }
             Some(build_response(host, status, &headers, body))
         }
         Err(error) => {
             log_attempt(host, call, progress, &selected.name, &error.to_string());
-            check_for_crash(host, selected.in_flight, selected.address);
+            if let Some(in_flight) = selected.in_flight {
+                check_for_crash(host, in_flight, selected.address);
+            }
             None
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -264,7 +264,9 @@
             upstream = selected.name.as_str(),
             after_ms = self.host.now().since(self.call.arrived).as_millis() as u64,
         });
-        selected.in_flight.completed();
+        if let Some(in_flight) = selected.in_flight {
+            in_flight.completed();
+        }
         let remainder = source.framer.take_remainder();
         if !remainder.is_empty() {
             let _gone = self.chunks.send(Ok(remainder)).await;
@@ -389,7 +391,7 @@
         self.note_resume_point(&segment.source.framer);
         let is_sound = |piece: &StreamPiece| !matches!(piece, StreamPiece::Broken(_));
         let (admission, progress) = (&self.admission, &mut self.progress);
-        let silent = SilentUpstream { selected: &segment.selected, probes };
+        let silent = SilentUpstream { selected: &mut segment.selected, probes };
         let first = segment.source.read();
         let (host, call) = (&self.host, &self.call);
         let end = ask_beside(host, call, admission, progress, silent, first, is_sound).await;
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -50,8 +50,9 @@
     pub running: u32,
     /// Counts the request as running there; removed on drop.
     pub running_guard: RunningGuard,
-    /// Counts the request as a suspect if the upstream crashes; removed on drop.
-    pub in_flight: InFlightGuard,
+    /// Counts the request as a suspect if the upstream crashes; removed on drop. `None` once the
+    /// upstream has failed.
+    pub in_flight: Option<InFlightGuard>,
 }
 
 /// Result of one attempt to select an upstream.
@@ -228,7 +229,7 @@
     if !state.crashes.try_start(now, progress.fingerprint, &name) {
         return Ok(Selection::Limited(PermitStep::Nothing));
     }
-    let in_flight = InFlightGuard::new(host, progress.fingerprint, name.clone());
+    let in_flight = Some(InFlightGuard::new(host, progress.fingerprint, name.clone()));
     let running_guard = RunningGuard::new(host, &mut state, name.clone(), call.head.model.clone());
     let candidates = open.len() + limited.len();
     Ok(Selection::Selected(Box::new(SelectedUpstream {
