--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -50,8 +50,9 @@
     pub running: u32,
     /// Counts the request as running there; removed on drop.
     pub running_guard: RunningGuard,
-    /// Counts the request as a suspect if the upstream crashes; removed on drop.
-    pub in_flight: InFlightGuard,
+    /// Counts the request as a suspect if the upstream crashes; removed on drop. `None` once the
+    /// upstream has failed.
+    pub in_flight: Option<InFlightGuard>,
 }
 
 /// Result of one attempt to select an upstream.
@@ -63,7 +64,8 @@
     Limited(PermitStep),
 }
 
-/// Selects an upstream that can run the request now; waits for one if there is none.
+/// Selects an upstream that can run the request now; waits for one if there is none, unless an
+/// upstream is at work on the request already.
 ///
 /// # Errors
 /// Fails if there is none in time, or if the configuration no longer allows the request.
@@ -76,7 +78,9 @@
     let mut waiting: Option<WaitingGuard> = None;
     let mut has_waited = false;
     let started = host.now();
-    let latest = started + admission.route.idle_timeout().mul_f64(MAX_WAIT_FRACTION);
+    let may_wait = progress.silent.is_none();
+    let longest = admission.route.idle_timeout().mul_f64(MAX_WAIT_FRACTION);
+    let latest = if may_wait { started + longest } else { started };
     let team = admission.team.as_ref().map(|(team, _)| team.clone());
     let mut search = PermitSearch::new(team, admission.priority(), progress.deadline, latest);
     loop {
@@ -124,6 +128,7 @@
         }
         if let Some(choice) = &call.head.model
             && waiting.is_none()
+            && may_wait
         {
             let worth = call.head.tokens.map_or(1_000, |(prompt, output)| prompt.0 + 10 * output.0);
             let waiting_request = WaitingRequest {
@@ -196,6 +201,7 @@
     let (limited, open): (Vec<UpstreamCandidate>, Vec<UpstreamCandidate>) = state
         .directory
         .usable(&progress.service, now)
+        .filter(|(name, _)| progress.silent.as_ref() != Some(*name))
         .filter(|(_, known)| choice.is_none_or(|choice| known.holds(choice, now)))
         .map(|(name, known)| UpstreamCandidate {
             name: name.clone(),
@@ -223,7 +229,7 @@
     if !state.crashes.try_start(now, progress.fingerprint, &name) {
         return Ok(Selection::Limited(PermitStep::Nothing));
     }
-    let in_flight = InFlightGuard::new(host, progress.fingerprint, name.clone());
+    let in_flight = Some(InFlightGuard::new(host, progress.fingerprint, name.clone()));
     let running_guard = RunningGuard::new(host, &mut state, name.clone(), call.head.model.clone());
     let candidates = open.len() + limited.len();
     Ok(Selection::Selected(Box::new(SelectedUpstream {
