Resume a stream only by a response of the kind that its caller receives

Callers found JSON, HTML or a text that starts like a response head in the middle of their event stream, and a 204 ended it as complete. The relay took any success of the next runner for the rest of the stream. Seen in all of 6 kinds of response, over HTTP/1.1 and 1.0, with a further sound runner and without one; failures were refused already.

The next response must have the status and the media type of the one that the caller receives, and no encoding; else another runner is asked.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod questions;
 pub mod refusal;
 pub mod relay;
+pub mod resumption;
 pub mod run;
 pub mod selection;
 pub mod server;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::document::CallKind;
 use crate::events::{EventFramer, EventTail, ResumePoint};
 use crate::handler::{Admission, GatewayCall, model_text};
+use crate::resumption::StreamKind;
 use crate::selection::{SelectedUpstream, select_upstream};
 use crate::state::Host;
 
@@ -54,6 +55,7 @@
     admission: Admission,
     progress: RequestProgress,
     framer: EventFramer,
+    kind: StreamKind,
     chunks: mpsc::Sender<ResponseChunk>,
 }
 
@@ -77,6 +79,7 @@
         admission,
         progress,
         framer: EventFramer::default(),
+        kind: StreamKind::of(&head),
         chunks,
     };
     host.tasks.spawn(relay.run(selected, head));
@@ -232,7 +235,7 @@
                 }
             };
             match send(&host, &call, &self.admission, &mut self.progress, selected).await {
-                SendOutcome::Head(selected, head) if head.status().is_success() => {
+                SendOutcome::Head(selected, head) if self.kind.is_continued_by(&head) => {
                     self.progress.runs += 1;
                     return Some((selected, *head));
                 }
