Resume a stream only at the event that follows the last one

Callers got events twice, missed some, got events without ids, or a response head in the middle of their stream, if the next runner started over, left some out, or sent bytes that are no event. Nothing compared what it sent with what the caller had.

The first event of a resumed segment must be the next by its id: higher by the step of the ids so far, while these have one, else just higher; another id than the last one if they are no numbers. Lines that cannot be those of an event or a comment end the segment, which also stops a later response's head behind a stream without a length. Comments before the first event are left out. With a single event before the break the step is unknown, so a gap then goes unseen.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -4,6 +4,8 @@
 use http::HeaderValue;
 use memchr::memmem;
 
+use crate::resumption::{IdSequence, ResumedStart, are_event_lines, check_start};
+
 /// Maximum size of an event, in bytes; it is buffered until it is complete.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -57,6 +59,20 @@
 pub struct EventFramer {
     buffer: BytesMut,
     point: ResumePoint,
+    ids: IdSequence,
+    /// What is known of the segment that resumes the stream; `None` in the first one.
+    resumed: Option<ResumedSegment>,
+}
+
+/// Whether a segment has continued the stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ResumedSegment {
+    /// It holds no event so far.
+    AwaitingEvent,
+    /// Its events follow those of the segments before.
+    Continuing,
+    /// It does not continue the stream.
+    Misplaced,
 }
 
 impl EventFramer {
@@ -76,25 +92,60 @@
             return Bytes::new();
         };
         let events = self.buffer.split_to(end).freeze();
+        let events = self.take_continuing(events);
+        self.ids.observe(&events);
         match last_event_id(&events) {
             Some(id) => {
                 self.point =
                     HeaderValue::from_bytes(id).map_or(ResumePoint::Nowhere, ResumePoint::After);
             }
-            None if self.point == ResumePoint::Beginning => self.point = ResumePoint::Nowhere,
+            None if self.point == ResumePoint::Beginning && !events.is_empty() => {
+                self.point = ResumePoint::Nowhere
+            }
             None => {}
         }
         events
     }
 
+    /// Returns the part of complete events that continues the stream; all of them in its first
+    /// segment. Comments before the first event of a resumed segment are left out.
+    fn take_continuing(&mut self, events: Bytes) -> Bytes {
+        let Some(segment) = &mut self.resumed else { return events };
+        if *segment == ResumedSegment::Misplaced || !are_event_lines(&events) {
+            *segment = ResumedSegment::Misplaced;
+            return Bytes::new();
+        }
+        if *segment == ResumedSegment::Continuing {
+            return events;
+        }
+        match check_start(&events, &self.ids, &self.point) {
+            ResumedStart::Nothing => Bytes::new(),
+            ResumedStart::EventAt(start) => {
+                *segment = ResumedSegment::Continuing;
+                events.slice(start..)
+            }
+            ResumedStart::Misplaced => {
+                *segment = ResumedSegment::Misplaced;
+                Bytes::new()
+            }
+        }
+    }
+
+    /// Returns whether the current segment does not continue the stream.
+    pub fn is_misplaced(&self) -> bool {
+        self.resumed == Some(ResumedSegment::Misplaced)
+    }
+
     /// Takes the buffered data of a last event that lacks its end.
     pub fn take_remainder(&mut self) -> Bytes {
         self.buffer.split().freeze()
     }
 
-    /// Drops the buffered part of an event that its runner did not complete.
+    /// Drops the buffered part of an event that its runner did not complete, before the stream is
+    /// resumed.
     pub fn discard(&mut self) {
         self.buffer.clear();
+        self.resumed = Some(ResumedSegment::AwaitingEvent);
     }
 
     /// Returns whether the buffered event exceeds the maximum size.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -192,6 +192,9 @@
             if self.framer.is_overlong() {
                 return SegmentEnd::Broken("event is too long".into());
             }
+            if self.framer.is_misplaced() {
+                return SegmentEnd::Broken("resumed at another event".into());
+            }
             if events.is_empty() {
                 continue;
             }
