Take no end of a resumed stream for its end before it sent an event

A stream that broke after two events ended as complete if the next runner sent none: a response that was empty, closed after its head, or held only comments. Such a response does not show that the rest is empty. It is now taken for broken off, so another runner is asked, or the caller sees a stream that broke off and may resume it itself. The price: a stream that breaks between its last event and its end looks broken off to its caller, too; nothing tells the two apart.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -136,6 +136,12 @@
         self.resumed == Some(ResumedSegment::Misplaced)
     }
 
+    /// Returns whether the stream is complete if its current segment ends properly. One that was
+    /// asked for the rest of a broken stream and sent no event does not show that there is none.
+    pub fn may_end(&self) -> bool {
+        matches!(self.resumed, None | Some(ResumedSegment::Continuing))
+    }
+
     /// Takes the buffered data of a last event that lacks its end.
     pub fn take_remainder(&mut self) -> Bytes {
         self.buffer.split().freeze()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -100,7 +100,11 @@
         let mut segment = Some((selected, head));
         while let Some((selected, head)) = segment.take() {
             let (name, address) = (selected.name.clone(), selected.address);
-            match self.relay_segment(head).await {
+            let mut end = self.relay_segment(head).await;
+            if matches!(end, SegmentEnd::Complete) && !self.framer.may_end() {
+                end = SegmentEnd::Broken("resumed without an event".into());
+            }
+            match end {
                 SegmentEnd::Complete => {
                     spdlog::info!("stream completed", kv: {
                         request = self.call.head.request_id.as_str(),
