--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -388,7 +388,7 @@
     };
     let expected = text("x-expect-instance");
     if !expected.is_empty() && expected != name {
-        let mut response = empty_response(StatusCode::MISDIRECTED_REQUEST);
+        let mut response = refusal(StatusCode::MISDIRECTED_REQUEST, &text("x-request-id"));
         set_header(&mut response, "x-instance", &name);
         return response;
     }
@@ -432,7 +432,7 @@
             at: Instant::now(),
         });
         if not_held {
-            return empty_response(StatusCode::MISDIRECTED_REQUEST);
+            return refusal(StatusCode::MISDIRECTED_REQUEST, &id);
         }
         (fault, state.events, ran, !state.omits_ids)
     };
@@ -443,8 +443,7 @@
         return broken_response();
     }
     if !ran {
-        let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
-        set_header(&mut response, "x-not-run", "1");
+        let mut response = refusal(StatusCode::SERVICE_UNAVAILABLE, &id);
         if let Some(EngineFault::RejectsWithPause(millis)) = fault {
             let pause = Duration::from_millis(millis);
             set_header(&mut response, "retry-after", &pause.as_secs_f64().to_string());
@@ -481,6 +480,16 @@
     response
 }
 
+/// Builds the response to a request that is not run.
+fn refusal(status: StatusCode, id: &str) -> Response<ResponseBody> {
+    let mut response = empty_response(status);
+    set_header(&mut response, "x-not-run", "1");
+    if !id.is_empty() {
+        set_header(&mut response, "x-request-id", id);
+    }
+    response
+}
+
 fn execute_order(shared: &Arc<Mutex<EngineState>>, body: &Bytes) -> Response<ResponseBody> {
     let Ok(order) = serde_json::from_slice::<Value>(body) else {
         return empty_response(StatusCode::BAD_REQUEST);
