Test that refused attempts of a call share no connection

A refusal that comes again names the same request, so an attempt that followed it on its connection could take it for its own.

--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -131,3 +131,18 @@
     expect_that!(entry.send(call).await.status, eq(StatusCode::PAYLOAD_TOO_LARGE));
     expect_that!(services[0].seen().len(), eq(0));
 }
+
+// A refusal of an earlier attempt names the same request, so no attempt may follow it on its
+// connection.
+#[gtest]
+#[tokio::test]
+async fn refused_attempts_share_no_connection() {
+    let (entry, services) = start(CallerScope::AllTeams, 1).await;
+    services[0].set_fault(ServiceFault::NotRun);
+    let call = keyed_request(Method::POST, "/services/timetable/", NORTH_KEY, "x");
+    let refused = entry.send(call).await;
+    expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    let seen = services[0].seen();
+    expect_that!(seen.len(), gt(1));
+    expect_that!(seen.iter().map(|request| request.index).max(), some(eq(0)));
+}
