Believe a response without an id only on a new connection

A service that echoes no ids, or leaves them out of a refusal, and wrote an earlier response again on a kept connection: the next call took it for its own. A refusal then read 'not run, try again' for a call that the service ran, and the call ran at the next instance too; an answer went to the wrong caller.

Such a connection is not kept any more, and a response without an id on a kept connection fails the call as one that may have run. Calls of runners require the id already. A service without ids now costs a connection a call.

--- a/crates/upstream/src/calls.rs
+++ b/crates/upstream/src/calls.rs
@@ -53,7 +53,8 @@
     pub body: Bytes,
     /// Whether to open a new connection for this call only, instead of using the pool.
     pub dedicated_connection: bool,
-    /// Whether a response without a request id is rejected; one with another id always is.
+    /// Whether a response without a request id is rejected even on a new connection; one with
+    /// another id always is.
     pub echo_required: bool,
     /// Timeouts of the call.
     pub limits: CallLimits,
@@ -222,10 +223,11 @@
 ) -> Result<OpenResponse, CallError> {
     let (head, incoming) = response.into_parts();
     let echoed = head.headers.get(REQUEST_ID);
-    // Dropping the connection closes it: later responses on it can't be trusted either.
+    // Dropping the connection closes it: later responses on it can't be trusted either. On a
+    // connection that carried calls before, only the id tells an earlier response from this one.
     let mismatched = match echoed {
         Some(echoed) => echoed.as_bytes() != call.request.to_string().as_bytes(),
-        None => call.echo_required,
+        None => call.echo_required || connection.reused,
     };
     if mismatched {
         let cause = format!("response has request id {echoed:?}");
@@ -237,7 +239,7 @@
         connection: Some(connection),
         pool: pool.clone(),
         peer: call.address,
-        reusable: !call.dedicated_connection,
+        reusable: !call.dedicated_connection && echoed.is_some(),
     };
     Ok(OpenResponse { status: head.status, headers: head.headers, body })
 }
