Resume a caller's stream only by an event stream without an encoding

A stream that broke was continued by whatever the next runner sent under a content-encoding, or under a media type that only starts like that of events, so callers read foreign chunks in their stream. Of 17 kinds of response these 2 were taken; the others were refused from the start. A runner that ignores x-resume-from and starts over stays unseen: chunks carry no numbers.

Before: the new test failed in these 2 cases, with a third runner and without; after: it passes.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -12,8 +12,8 @@
 use dotterellane_units::TokenCount;
 use dotterellane_upstream::{CallError, CallFault, ResponseBody};
 use futures::future::BoxFuture;
-use http::header::CONTENT_TYPE;
-use http::{HeaderMap, StatusCode};
+use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use tokio::time::Instant;
 
 use crate::admission::deadline_exceeded;
@@ -293,7 +293,12 @@
 
     fn on_reopened(&mut self, reopened: Result<OpenCall, EntryRefusal>) {
         match reopened {
-            Ok(open) if is_event_stream(&open) => self.phase = relaying(open),
+            Ok(open)
+                if is_event_stream(&open)
+                    && !open.response.headers.contains_key(CONTENT_ENCODING) =>
+            {
+                self.phase = relaying(open);
+            }
             Ok(_) => {
                 let message = "the stream broke and the next runner refused to resume it";
                 self.refuse(&EntryRefusal::before_sending(RefusalKind::UpstreamFailed, message));
@@ -365,9 +370,11 @@
 
 /// Returns whether a response is an event stream.
 pub fn is_event_stream(open: &OpenCall) -> bool {
-    let content_type = open.response.headers.get(CONTENT_TYPE);
+    let content_type = open.response.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    let media_type = content_type.and_then(|value| value.split(|byte| *byte == b';').next());
     open.response.status == StatusCode::OK
-        && content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+        && media_type
+            .is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
 }
 
 impl fmt::Debug for RelayBody {
