Ask a further runner if the next one does not continue a stream

A stream that broke ended in an error if the next runner answered it with something that is no event stream (a 404, 302, 204, 206, JSON, HTML), though a sound runner and attempts were left. Such a response now counts as broken, like any other failed attempt.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -293,15 +293,13 @@
 
     fn on_reopened(&mut self, reopened: Result<OpenCall, EntryRefusal>) {
         match reopened {
-            Ok(open)
-                if is_event_stream(&open)
-                    && !open.response.headers.contains_key(CONTENT_ENCODING) =>
-            {
+            Ok(open) => {
+                let is_continued =
+                    is_event_stream(&open) && !open.response.headers.contains_key(CONTENT_ENCODING);
                 self.phase = relaying(open);
-            }
-            Ok(_) => {
-                let message = "the stream broke and the next runner refused to resume it";
-                self.refuse(&EntryRefusal::before_sending(RefusalKind::UpstreamFailed, message));
+                if !is_continued {
+                    self.reopen(CallFault::MismatchedId);
+                }
             }
             Err(refusal) => self.refuse(&refusal),
         }
--- a/crates/entry/tests/resumed.rs
+++ b/crates/entry/tests/resumed.rs
@@ -37,7 +37,8 @@
     server.await.expect("a port")
 }
 
-// Guards against another text, or an encoded one, in the middle of a stream.
+// Guards against another text, or an encoded one, in the middle of a stream, and against a stream
+// given up while a sound runner was left.
 #[gtest]
 #[tokio::test]
 async fn stream_resumed_by_something_else_shows_none_of_it() {
@@ -80,6 +81,7 @@
             let is_done = received.body.contains("[DONE]");
             let tokens = if is_done { TOKENS } else { CHUNKS };
             expect_that!(received.stream_text(), eq(&expected_text(tokens)), "{name}");
+            expect_that!(is_done, eq(has_third), "{name}");
             expect_that!(received.error_code().is_empty(), eq(is_done), "{name}");
             entry.settled().await;
         }
