End a stream's segment before a line that starts another response

A runner that does not frame its stream and writes a failure behind its events: the first segment passed the failure's head and text on as events, also to callers of a stream that another runner could resume. A status line can't be a line of an event; the events before it are passed on, and another runner resumes after them. The same goes for lines that can't be an event's in a resumed segment, where the events read together with them were dropped before.

Streams that may not be resumed are passed on as bytes and are as before.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -4,7 +4,9 @@
 use http::HeaderValue;
 use memchr::memmem;
 
-use crate::resumption::{IdSequence, ResumedStart, are_event_lines, check_start};
+use crate::resumption::{
+    IdSequence, ResumedStart, check_start, is_event_line, is_status_line, valid_length,
+};
 
 /// Maximum size of an event, in bytes; it is buffered until it is complete.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -60,18 +62,20 @@
     buffer: BytesMut,
     point: ResumePoint,
     ids: IdSequence,
-    /// What is known of the segment that resumes the stream; `None` in the first one.
-    resumed: Option<ResumedSegment>,
+    segment: SegmentState,
 }
 
-/// Whether a segment has continued the stream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ResumedSegment {
-    /// It holds no event so far.
+/// How far the current segment of a stream continues the ones before.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum SegmentState {
+    /// It is the first one.
+    #[default]
+    First,
+    /// It resumes the stream and holds no event so far.
     AwaitingEvent,
-    /// Its events follow those of the segments before.
+    /// It resumes the stream, and its events follow those of the segments before.
     Continuing,
-    /// It does not continue the stream.
+    /// What it holds next is no part of the stream.
     Misplaced,
 }
 
@@ -107,39 +111,46 @@
         events
     }
 
-    /// Returns the part of complete events that continues the stream; all of them in its first
-    /// segment. Comments before the first event of a resumed segment are left out.
+    /// Returns the part of complete events that continues the stream. Comments before the first
+    /// event of a resumed segment are left out.
     fn take_continuing(&mut self, events: Bytes) -> Bytes {
-        let Some(segment) = &mut self.resumed else { return events };
-        if *segment == ResumedSegment::Misplaced || !are_event_lines(&events) {
-            *segment = ResumedSegment::Misplaced;
-            return Bytes::new();
-        }
-        if *segment == ResumedSegment::Continuing {
-            return events;
-        }
-        match check_start(&events, &self.ids, &self.point) {
-            ResumedStart::Nothing => Bytes::new(),
-            ResumedStart::EventAt(start) => {
-                *segment = ResumedSegment::Continuing;
-                events.slice(start..)
+        let length = match self.segment {
+            SegmentState::Misplaced => return Bytes::new(),
+            SegmentState::First => valid_length(&events, |line| !is_status_line(line)),
+            SegmentState::AwaitingEvent | SegmentState::Continuing => {
+                valid_length(&events, is_event_line)
             }
-            ResumedStart::Misplaced => {
-                *segment = ResumedSegment::Misplaced;
-                Bytes::new()
+        };
+        let valid = events.slice(..length);
+        let mut start = 0;
+        if self.segment == SegmentState::AwaitingEvent {
+            match check_start(&valid, &self.ids, &self.point) {
+                ResumedStart::Nothing => start = length,
+                ResumedStart::EventAt(offset) => {
+                    start = offset;
+                    self.segment = SegmentState::Continuing;
+                }
+                ResumedStart::Misplaced => {
+                    start = length;
+                    self.segment = SegmentState::Misplaced;
+                }
             }
         }
+        if length < events.len() {
+            self.segment = SegmentState::Misplaced;
+        }
+        valid.slice(start..)
     }
 
-    /// Returns whether the current segment does not continue the stream.
+    /// Returns whether the rest of the current segment is no part of the stream.
     pub fn is_misplaced(&self) -> bool {
-        self.resumed == Some(ResumedSegment::Misplaced)
+        self.segment == SegmentState::Misplaced
     }
 
     /// Returns whether the stream is complete if its current segment ends properly. One that was
     /// asked for the rest of a broken stream and sent no event does not show that there is none.
     pub fn may_end(&self) -> bool {
-        matches!(self.resumed, None | Some(ResumedSegment::Continuing))
+        matches!(self.segment, SegmentState::First | SegmentState::Continuing)
     }
 
     /// Takes the buffered data of a last event that lacks its end.
@@ -151,7 +162,7 @@
     /// resumed.
     pub fn discard(&mut self) {
         self.buffer.clear();
-        self.resumed = Some(ResumedSegment::AwaitingEvent);
+        self.segment = SegmentState::AwaitingEvent;
     }
 
     /// Returns whether the buffered event exceeds the maximum size.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -102,7 +102,7 @@
             let (name, address) = (selected.name.clone(), selected.address);
             let mut end = self.relay_segment(head).await;
             if matches!(end, SegmentEnd::Complete) && !self.framer.may_end() {
-                end = SegmentEnd::Broken("resumed without an event".into());
+                end = SegmentEnd::Broken("ended without the rest of the stream".into());
             }
             match end {
                 SegmentEnd::Complete => {
@@ -196,8 +196,8 @@
             if self.framer.is_overlong() {
                 return SegmentEnd::Broken("event is too long".into());
             }
-            if self.framer.is_misplaced() {
-                return SegmentEnd::Broken("resumed at another event".into());
+            if events.is_empty() && self.framer.is_misplaced() {
+                return SegmentEnd::Broken("what follows is no part of the stream".into());
             }
             if events.is_empty() {
                 continue;
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -120,15 +120,36 @@
     ResumedStart::Nothing
 }
 
-/// Returns whether every line can be one of an event or a comment; a status line, a document or
-/// other text cannot.
-pub fn are_event_lines(blocks: &[u8]) -> bool {
-    lines(blocks).all(|line| {
-        let name = field_name(line);
-        let is_name = name.iter().all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(byte));
-        let has_colon = name.len() < line.len();
-        is_name && (has_colon || line.is_empty() || EVENT_FIELDS.contains(&name))
-    })
+/// Returns the length of the blocks before the first one that has a line which is not valid.
+pub fn valid_length<V>(blocks: &[u8], is_valid: V) -> usize
+where
+    V: Fn(&[u8]) -> bool,
+{
+    let (mut start, mut end) = (0, 0);
+    for line in blocks.split_inclusive(|byte| *byte == b'\n') {
+        end += line.len();
+        let line = line.trim_ascii_end();
+        if line.is_empty() {
+            start = end;
+        } else if !is_valid(line) {
+            return start;
+        }
+    }
+    end
+}
+
+/// Returns whether a line can be one of an event or a comment; a status line, a line of a document
+/// or other text cannot.
+pub fn is_event_line(line: &[u8]) -> bool {
+    let name = field_name(line);
+    let is_name = name.iter().all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(byte));
+    let has_colon = name.len() < line.len();
+    is_name && (has_colon || EVENT_FIELDS.contains(&name))
+}
+
+/// Returns whether a line can be the first one of a response.
+pub fn is_status_line(line: &[u8]) -> bool {
+    line.starts_with(b"HTTP/1.")
 }
 
 fn lines(blocks: &[u8]) -> impl Iterator<Item = &[u8]> {
