--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -4,6 +4,10 @@
 use http::HeaderValue;
 use memchr::memmem;
 
+use crate::resumption::{
+    IdSequence, ResumedStart, check_start, is_event_line, is_status_line, valid_length,
+};
+
 /// Maximum size of an event, in bytes; it is buffered until it is complete.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -76,6 +80,22 @@
 pub struct EventFramer {
     buffer: BytesMut,
     point: ResumePoint,
+    ids: IdSequence,
+    segment: SegmentState,
+}
+
+/// How far the current segment of a stream continues the ones before.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum SegmentState {
+    /// It is the first one.
+    #[default]
+    First,
+    /// It resumes the stream and holds no event so far.
+    AwaitingEvent,
+    /// It resumes the stream, and its events follow those of the segments before.
+    Continuing,
+    /// What it holds next is no part of the stream.
+    Misplaced,
 }
 
 impl EventFramer {
@@ -95,25 +115,73 @@
             return Bytes::new();
         };
         let events = self.buffer.split_to(end).freeze();
+        let events = self.take_continuing(events);
+        self.ids.observe(&events);
         match last_event_id(&events) {
             Some(id) => {
                 self.point =
                     HeaderValue::from_bytes(id).map_or(ResumePoint::Nowhere, ResumePoint::After);
             }
-            None if self.point == ResumePoint::Beginning => self.point = ResumePoint::Nowhere,
+            None if self.point == ResumePoint::Beginning && !events.is_empty() => {
+                self.point = ResumePoint::Nowhere
+            }
             None => {}
         }
         events
     }
 
+    /// Returns the part of complete events that continues the stream. Comments before the first
+    /// event of a resumed segment are left out.
+    fn take_continuing(&mut self, events: Bytes) -> Bytes {
+        let length = match self.segment {
+            SegmentState::Misplaced => return Bytes::new(),
+            SegmentState::First => valid_length(&events, |line| !is_status_line(line)),
+            SegmentState::AwaitingEvent | SegmentState::Continuing => {
+                valid_length(&events, is_event_line)
+            }
+        };
+        let valid = events.slice(..length);
+        let mut start = 0;
+        if self.segment == SegmentState::AwaitingEvent {
+            match check_start(&valid, &self.ids, &self.point) {
+                ResumedStart::Nothing => start = length,
+                ResumedStart::EventAt(offset) => {
+                    start = offset;
+                    self.segment = SegmentState::Continuing;
+                }
+                ResumedStart::Misplaced => {
+                    start = length;
+                    self.segment = SegmentState::Misplaced;
+                }
+            }
+        }
+        if length < events.len() {
+            self.segment = SegmentState::Misplaced;
+        }
+        valid.slice(start..)
+    }
+
+    /// Returns whether the rest of the current segment is no part of the stream.
+    pub fn is_misplaced(&self) -> bool {
+        self.segment == SegmentState::Misplaced
+    }
+
+    /// Returns whether the stream is complete if its current segment ends properly. One that was
+    /// asked for the rest of a broken stream and sent no event does not show that there is none.
+    pub fn may_end(&self) -> bool {
+        matches!(self.segment, SegmentState::First | SegmentState::Continuing)
+    }
+
     /// Takes the buffered data of a last event that lacks its end.
     pub fn take_remainder(&mut self) -> Bytes {
         self.buffer.split().freeze()
     }
 
-    /// Drops the buffered part of an event that its runner did not complete.
+    /// Drops the buffered part of an event that its runner did not complete, before the stream is
+    /// resumed.
     pub fn discard(&mut self) {
         self.buffer.clear();
+        self.segment = SegmentState::AwaitingEvent;
     }
 
     /// Returns whether the buffered event exceeds the maximum size.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,6 +22,7 @@
 use crate::events::{EventFramer, EventTail, ResumePoint};
 use crate::handler::{Admission, GatewayCall, model_text};
 use crate::peeked::PeekedBody;
+use crate::resumption::StreamKind;
 use crate::selection::{SelectedUpstream, select_upstream};
 use crate::state::Host;
 
@@ -52,8 +53,6 @@
     framer: EventFramer,
     tail: EventTail,
     end_rule: EndRule,
-    /// Whether events were passed on before this segment.
-    resumes: bool,
     /// Whether only complete events are passed on, so that another runner can resume the stream.
     resumable: bool,
     /// What was read already.
@@ -99,6 +98,7 @@
     call: Arc<GatewayCall>,
     admission: Admission,
     progress: RequestProgress,
+    kind: StreamKind,
     chunks: mpsc::Sender<ResponseChunk>,
 }
 
@@ -115,9 +115,11 @@
     let mut response = Response::new(GatewayBody::Chunks(received));
     *response.status_mut() = head.status();
     *response.headers_mut() = (host.wire.caller_headers)(head.headers());
+    let kind = StreamKind::of(&head);
     let resumable = admission.route.kind == CallKind::ResumableStream;
     let segment = Segment::new(selected, head, EventFramer::default(), resumable);
-    let relay = StreamRelay { host: host.clone(), call: call.clone(), admission, progress, chunks };
+    let relay =
+        StreamRelay { host: host.clone(), call: call.clone(), admission, progress, kind, chunks };
     host.tasks.spawn(relay.run(segment));
     response
 }
@@ -150,19 +152,17 @@
 }
 
 impl Segment {
-    /// Creates a segment; `framer` knows the events that were passed on before.
+    /// Creates a segment; `framer` knows the events that were passed on before, if there are any.
     fn new(
         selected: SelectedUpstream,
         head: Response<PeekedBody>,
-        mut framer: EventFramer,
+        framer: EventFramer,
         resumable: bool,
     ) -> Self {
-        framer.discard();
         let is_encoded = head.headers().contains_key(CONTENT_ENCODING);
         let cause = || StreamPiece::Broken("unexpected content-encoding".to_owned());
         let source = SegmentSource {
             end_rule: EndRule::of(head.headers()),
-            resumes: *framer.resume_point() != ResumePoint::Beginning,
             body: head.into_body(),
             framer,
             tail: EventTail::default(),
@@ -191,6 +191,9 @@
             if self.framer.is_overlong() {
                 return StreamPiece::Broken("event is too long".to_owned());
             }
+            if data.is_empty() && self.framer.is_misplaced() {
+                return StreamPiece::Broken("what follows is no part of the stream".to_owned());
+            }
             if !data.is_empty() {
                 return StreamPiece::Data(data);
             }
@@ -202,9 +205,12 @@
         if self.end_rule != EndRule::Framing && !self.tail.is_between_events() {
             return StreamPiece::Broken("stream ends in the middle of an event".to_owned());
         }
-        if self.end_rule == EndRule::Event && !self.tail.has_event() && !self.resumes {
+        if self.end_rule == EndRule::Event && !self.tail.has_event() {
             return StreamPiece::Broken("connection ends before the first event".to_owned());
         }
+        if !self.framer.may_end() {
+            return StreamPiece::Broken("ended without the rest of the stream".to_owned());
+        }
         StreamPiece::Complete
     }
 
@@ -396,16 +402,18 @@
         let (host, call) = (&self.host, &self.call);
         let end = ask_beside(host, call, admission, progress, silent, first, is_sound).await;
         match (end.other, end.first) {
-            (Some((selected, head)), _) => {
+            (Some((selected, head)), _) if self.kind.is_continued_by(&head) => {
                 let source = &segment.source;
-                let next = Segment::new(selected, head, source.framer.clone(), source.resumable);
+                let mut framer = source.framer.clone();
+                framer.discard();
+                let next = Segment::new(selected, head, framer, source.resumable);
                 SearchEnd::Ended(SegmentEnd::Replaced(Box::new(next)))
             }
-            (None, Some(piece)) => SearchEnd::Piece(piece),
-            (None, None) if end.gone => {
+            (_, Some(piece)) => SearchEnd::Piece(piece),
+            (_, None) if end.gone => {
                 SearchEnd::Piece(StreamPiece::Broken("upstream is silent and gone".to_owned()))
             }
-            (None, None) => SearchEnd::Nobody,
+            (_, None) => SearchEnd::Nobody,
         }
     }
 
@@ -422,7 +430,8 @@
     }
 
     /// Selects another runner that resumes the stream after the last event passed on.
-    async fn resume(&mut self, framer: EventFramer) -> Option<Segment> {
+    async fn resume(&mut self, mut framer: EventFramer) -> Option<Segment> {
+        framer.discard();
         if !self.note_resume_point(&framer) {
             self.log_break("", &framer, "no event of the stream has an id to resume after");
             return None;
@@ -451,7 +460,7 @@
                 }
             };
             match send(&host, &call, &self.admission, &mut self.progress, selected).await {
-                SendOutcome::Head(selected, head) if head.status().is_success() => {
+                SendOutcome::Head(selected, head) if self.kind.is_continued_by(&head) => {
                     return Some((selected, *head));
                 }
                 SendOutcome::NotRun(pause) => sleep(pause).await,
