Let a stream that states no media type be resumed by one of events

A stream that states none is one of events (stream_that_ends_inside_an_event_goes_on_elsewhere, which failed, passes).

--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -5,6 +5,9 @@
 
 use crate::events::ResumePoint;
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Names of the fields that make a block of lines an event. A block that lacks all of them, such as
 /// a comment, is none.
 const EVENT_FIELDS: [&[u8]; 3] = [b"id", b"data", b"event"];
@@ -29,9 +32,10 @@
     }
 }
 
-/// Returns the media type without its parameters, in lower case; empty if there is none.
+/// Returns the media type without its parameters, in lower case. A stream that states none is one
+/// of events.
 fn media_type(headers: &HeaderMap) -> Vec<u8> {
-    let value = headers.get(CONTENT_TYPE).map_or(&b""[..], HeaderValue::as_bytes);
+    let value = headers.get(CONTENT_TYPE).map_or(EVENT_STREAM, HeaderValue::as_bytes);
     let name = value.split(|byte| *byte == b';').next().unwrap_or_default();
     name.trim_ascii().to_ascii_lowercase()
 }
