Let a stream end empty that its caller resumes after the last event

The rule that an unframed stream without an event is broken off would have cut the rest of a stream that has none.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -52,7 +52,7 @@
     framer: EventFramer,
     tail: EventTail,
     end_rule: EndRule,
-    /// Whether events were passed on before this segment.
+    /// Whether the runner was asked to resume after an event that the caller has.
     resumes: bool,
     /// Whether only complete events are passed on, so that another runner can resume the stream.
     resumable: bool,
@@ -70,6 +70,9 @@
     Broken(String),
 }
 
+/// Content type of a stream of events, before its parameters.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Why a segment of a stream ended.
 enum SegmentEnd {
     /// The stream is complete.
@@ -116,7 +119,7 @@
     *response.status_mut() = head.status();
     *response.headers_mut() = (host.wire.caller_headers)(head.headers());
     let resumable = admission.route.kind == CallKind::ResumableStream;
-    let segment = Segment::new(selected, head, EventFramer::default(), resumable);
+    let segment = Segment::new(selected, head, EventFramer::default(), resumable, &progress);
     let relay = StreamRelay { host: host.clone(), call: call.clone(), admission, progress, chunks };
     host.tasks.spawn(relay.run(segment));
     response
@@ -140,7 +143,9 @@
         let framed =
             headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
         let kind = headers.get(CONTENT_TYPE).map_or(&b""[..], HeaderValue::as_bytes);
-        let is_events = kind.is_empty() || kind.starts_with(b"text/event-stream");
+        let starts = kind.get(..EVENT_STREAM.len());
+        let is_events =
+            kind.is_empty() || starts.is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM));
         match (is_events, framed) {
             (false, _) => Self::Framing,
             (true, true) => Self::FramingAndEvent,
@@ -150,19 +155,21 @@
 }
 
 impl Segment {
-    /// Creates a segment; `framer` knows the events that were passed on before.
+    /// Creates a segment; `framer` knows the events that were passed on before, and `progress` the
+    /// one after which the runner was asked to resume.
     fn new(
         selected: SelectedUpstream,
         head: Response<PeekedBody>,
         mut framer: EventFramer,
         resumable: bool,
+        progress: &RequestProgress,
     ) -> Self {
         framer.discard();
         let is_encoded = head.headers().contains_key(CONTENT_ENCODING);
         let cause = || StreamPiece::Broken("unexpected content-encoding".to_owned());
         let source = SegmentSource {
             end_rule: EndRule::of(head.headers()),
-            resumes: *framer.resume_point() != ResumePoint::Beginning,
+            resumes: progress.last_event.is_some(),
             body: head.into_body(),
             framer,
             tail: EventTail::default(),
@@ -398,7 +405,8 @@
         match (end.other, end.first) {
             (Some((selected, head)), _) => {
                 let source = &segment.source;
-                let next = Segment::new(selected, head, source.framer.clone(), source.resumable);
+                let (framer, resumable) = (source.framer.clone(), source.resumable);
+                let next = Segment::new(selected, head, framer, resumable, &self.progress);
                 SearchEnd::Ended(SegmentEnd::Replaced(Box::new(next)))
             }
             (None, Some(piece)) => SearchEnd::Piece(piece),
@@ -433,7 +441,7 @@
             () = caller.closed() => return None,
         };
         let resumable = self.admission.route.kind == CallKind::ResumableStream;
-        Some(Segment::new(selected, head, framer, resumable))
+        Some(Segment::new(selected, head, framer, resumable, &self.progress))
     }
 
     async fn reopen(
