Wait for the probe of a silent upstream when nobody else takes over

With no other upstream the search ended before its probe had an answer, so that one which refuses connections was waited for until the deadline and its crash was not told. silent_upstream_that_refuses_connections_is_given_up failed before: the caller waited 4.25 s.

--- a/crates/gateway/src/beside.rs
+++ b/crates/gateway/src/beside.rs
@@ -77,6 +77,7 @@
     {
         let mut asking = pin!(ask_other(host, call, admission.clone(), progress));
         let mut other = None;
+        let mut refused = false;
         let mut overlap = pin!(sleep(HANDOVER_OVERLAP));
         let is_stream = admission.route.kind.is_stream();
         let (name, address, started_at) = {
@@ -95,6 +96,9 @@
                         break;
                     }
                     note_failed(host, silent.selected);
+                    if refused {
+                        break;
+                    }
                 }
                 gone = &mut probe, if probing => {
                     probing = false;
@@ -102,8 +106,12 @@
                     if gone {
                         note_failed(host, silent.selected);
                     }
+                    if refused {
+                        break;
+                    }
                 }
-                asked = &mut asking, if other.is_none() => match asked {
+                asked = &mut asking, if other.is_none() && !refused => match asked {
+                    None if probing && end.first.is_none() => refused = true,
                     Some(asked) if is_stream && end.first.is_none() && !end.gone => {
                         other = Some(asked);
                         overlap.as_mut().reset(Instant::now() + HANDOVER_OVERLAP);
