--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -53,6 +53,8 @@
     framer: EventFramer,
     tail: EventTail,
     end_rule: EndRule,
+    /// Whether the runner was asked to resume after an event that the caller has.
+    resumes: bool,
     /// Whether only complete events are passed on, so that another runner can resume the stream.
     resumable: bool,
     /// What was read already.
@@ -69,6 +71,9 @@
     Broken(String),
 }
 
+/// Content type of a stream of events, before its parameters.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Why a segment of a stream ended.
 enum SegmentEnd {
     /// The stream is complete.
@@ -117,7 +122,7 @@
     *response.headers_mut() = (host.wire.caller_headers)(head.headers());
     let kind = StreamKind::of(&head);
     let resumable = admission.route.kind == CallKind::ResumableStream;
-    let segment = Segment::new(selected, head, EventFramer::default(), resumable);
+    let segment = Segment::new(selected, head, EventFramer::default(), resumable, &progress);
     let relay =
         StreamRelay { host: host.clone(), call: call.clone(), admission, progress, kind, chunks };
     host.tasks.spawn(relay.run(segment));
@@ -142,7 +147,9 @@
         let framed =
             headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
         let kind = headers.get(CONTENT_TYPE).map_or(&b""[..], HeaderValue::as_bytes);
-        let is_events = kind.is_empty() || kind.starts_with(b"text/event-stream");
+        let starts = kind.get(..EVENT_STREAM.len());
+        let is_events =
+            kind.is_empty() || starts.is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM));
         match (is_events, framed) {
             (false, _) => Self::Framing,
             (true, true) => Self::FramingAndEvent,
@@ -152,17 +159,20 @@
 }
 
 impl Segment {
-    /// Creates a segment; `framer` knows the events that were passed on before, if there are any.
+    /// Creates a segment; `framer` knows the events that were passed on before, if there are any, and
+    /// `progress` the one after which the runner was asked to resume.
     fn new(
         selected: SelectedUpstream,
         head: Response<PeekedBody>,
         framer: EventFramer,
         resumable: bool,
+        progress: &RequestProgress,
     ) -> Self {
         let is_encoded = head.headers().contains_key(CONTENT_ENCODING);
         let cause = || StreamPiece::Broken("unexpected content-encoding".to_owned());
         let source = SegmentSource {
             end_rule: EndRule::of(head.headers()),
+            resumes: progress.last_event.is_some(),
             body: head.into_body(),
             framer,
             tail: EventTail::default(),
@@ -205,7 +215,7 @@
         if self.end_rule != EndRule::Framing && !self.tail.is_between_events() {
             return StreamPiece::Broken("stream ends in the middle of an event".to_owned());
         }
-        if self.end_rule == EndRule::Event && !self.tail.has_event() {
+        if self.end_rule == EndRule::Event && !self.tail.has_event() && !self.resumes {
             return StreamPiece::Broken("connection ends before the first event".to_owned());
         }
         if !self.framer.may_end() {
@@ -404,9 +414,9 @@
         match (end.other, end.first) {
             (Some((selected, head)), _) if self.kind.is_continued_by(&head) => {
                 let source = &segment.source;
-                let mut framer = source.framer.clone();
+                let (mut framer, resumable) = (source.framer.clone(), source.resumable);
                 framer.discard();
-                let next = Segment::new(selected, head, framer, source.resumable);
+                let next = Segment::new(selected, head, framer, resumable, &self.progress);
                 SearchEnd::Ended(SegmentEnd::Replaced(Box::new(next)))
             }
             (_, Some(piece)) => SearchEnd::Piece(piece),
@@ -442,7 +452,7 @@
             () = caller.closed() => return None,
         };
         let resumable = self.admission.route.kind == CallKind::ResumableStream;
-        Some(Segment::new(selected, head, framer, resumable))
+        Some(Segment::new(selected, head, framer, resumable, &self.progress))
     }
 
     async fn reopen(
