--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -47,6 +47,9 @@
 /// Time after which a call without a response ends.
 const SILENCE_DURATION: Duration = Duration::from_secs(60);
 
+/// Maximum size of the values of a page, in bytes.
+const MAX_PAGE_BYTES: usize = 1 << 20;
+
 #[derive(Clone, Debug)]
 struct StoredRow {
     value: Option<String>,
@@ -79,6 +82,8 @@
     calls: u64,
     /// Values that replace written ones, by the written value; both Base64.
     aliases: BTreeMap<String, String>,
+    /// Rows that are added to answers, by table.
+    extra_rows: BTreeMap<String, Value>,
 }
 
 /// A store on a loopback port; it stops when dropped.
@@ -137,6 +142,17 @@
         version
     }
 
+    /// Writes a row whose value is `text` as it stands, which need not be Base64.
+    pub fn put_unencoded(&self, table: &str, key: &str, text: &str) {
+        lock(&self.state).write(table, key, Some(text.to_owned()));
+        self.changed.notify_waiters();
+    }
+
+    /// Adds `row`, which need not be a valid one, to each answer about rows of `table`.
+    pub fn set_extra_row(&self, table: &str, row: Value) {
+        lock(&self.state).extra_rows.insert(table.to_owned(), row);
+    }
+
     /// Removes a row, which leaves a tombstone.
     pub fn remove(&self, table: &str, key: &str) {
         lock(&self.state).write(table, key, None);
@@ -327,8 +343,17 @@
         })
         .filter_map(|((of, key), row)| row_json(of, key, row))
         .collect();
-    let more = all.len() > limit;
-    rows_response(state.era, StatusCode::OK, &all[..all.len().min(limit)], version, more)
+    let fitting = all
+        .iter()
+        .scan(0, |bytes, row| {
+            *bytes += row["value"].as_str().map_or(0, str::len);
+            Some(*bytes)
+        })
+        .take_while(|bytes| *bytes <= MAX_PAGE_BYTES);
+    let count = fitting.count().max(1).min(limit).min(all.len());
+    let mut page = all[..count].to_vec();
+    page.extend(state.extra_rows.get(&table).cloned());
+    rows_response(state.era, StatusCode::OK, &page, version, all.len() > count)
 }
 
 async fn read_feed(
@@ -358,14 +383,13 @@
                     .collect();
                 rows.sort_by_key(|(_, row)| row.version);
                 if !rows.is_empty() {
-                    let rows: Vec<Value> = rows
-                        .into_iter()
-                        .map(|((of, key), row)| {
-                            row_json(of, key, row).unwrap_or_else(|| {
-                                json!({"table": of, "key": key, "ver": row.version, "tombstone": true})
-                            })
+                    let rows = rows.into_iter().map(|((of, key), row)| {
+                        row_json(of, key, row).unwrap_or_else(|| {
+                            json!({"table": of, "key": key, "ver": row.version, "tombstone": true})
                         })
-                        .collect();
+                    });
+                    let rows: Vec<Value> =
+                        rows.chain(state.extra_rows.get(&table).cloned()).collect();
                     return rows_response(state.era, StatusCode::OK, &rows, state.version, false);
                 }
             }
@@ -411,7 +435,21 @@
 
 fn parse_query(query: &str) -> HashMap<String, String> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(name, value)| (name.to_owned(), value.replace("%00", "\0"))).collect()
+    pairs.map(|(name, value)| (name.to_owned(), decode_percent(value))).collect()
+}
+
+/// Decodes `%XX`; other text stays as it is.
+fn decode_percent(text: &str) -> String {
+    let mut decoded = Vec::new();
+    let mut rest = text.as_bytes();
+    while let [first, more @ ..] = rest {
+        let digits = more.get(..2).filter(|_| *first == b'%');
+        let digits = digits.and_then(|digits| std::str::from_utf8(digits).ok());
+        let byte = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        decoded.push(byte.unwrap_or(*first));
+        rest = if byte.is_some() { &more[2..] } else { more };
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
 }
 
 /// A row value as encoded in messages.
