--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use tokio::time::timeout;
@@ -20,6 +20,8 @@
     NotApplied(String),
     /// The request may or may not have taken effect.
     Unknown(String),
+    /// The response has a status below 500 and is longer than this number of bytes.
+    TooLong(usize),
 }
 
 impl CallFailure {
@@ -29,6 +31,10 @@
         match self {
             Self::NotApplied(cause) => TableError::Unavailable { step, peer, cause },
             Self::Unknown(cause) => TableError::AnswerLost { step, peer, cause },
+            Self::TooLong(max_bytes) => {
+                let cause = format!("the response is longer than {max_bytes} bytes");
+                TableError::AnswerLost { step, peer, cause }
+            }
         }
     }
 }
@@ -36,7 +42,8 @@
 /// Sends `request` and reads the whole response body, up to `max_bytes`, within `time_limit`.
 ///
 /// Returns the response for every status below 500. A failed connection and status 503 count as
-/// [`CallFailure::NotApplied`], every other failure as [`CallFailure::Unknown`].
+/// [`CallFailure::NotApplied`], every other failure as
+/// [`CallFailure::Unknown`] or [`CallFailure::TooLong`].
 ///
 /// # Errors
 /// Fails if the body is not complete within `time_limit`, is longer than `max_bytes`, or the
@@ -59,7 +66,13 @@
         })?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, max_bytes).collect().await;
-        let body = body.map_err(|error| CallFailure::Unknown(error.to_string()))?;
+        let body = body.map_err(|error| {
+            if error.is::<LengthLimitError>() && !head.status.is_server_error() {
+                CallFailure::TooLong(max_bytes)
+            } else {
+                CallFailure::Unknown(error.to_string())
+            }
+        })?;
         Ok(Response::from_parts(head, body.to_bytes()))
     };
     let timed_out = |_elapsed| CallFailure::Unknown(format!("no response within {time_limit:?}"));
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -110,6 +110,7 @@
             Ok((StatusCode::NOT_FOUND, _)) => return Ok(None),
             Ok((status, _)) => status.to_string(),
             Err(CallFailure::NotApplied(cause) | CallFailure::Unknown(cause)) => cause,
+            Err(CallFailure::TooLong(max_bytes)) => format!("longer than {max_bytes} bytes"),
         };
         Err(ObjectError { step, key, peer: self.address.to_string(), cause })
     }
