Saturate the sum of the requests that run at an upstream

What callers saw: no request is served while two peers report more requests at the upstreams than a sum may hold: the selection ended with "attempt to add with overflow" (445 times in 10 s); in a release build the sum wraps, and the fullest upstream looks idle.

Cause: the counts of all heartbeats were added as they are.

Test: platform/tests/odd_datagrams.rs, running_requests_beyond_all_numbers_stop_no_request; failed before.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -371,7 +371,7 @@
     /// heartbeats.
     pub fn fleet_running_at(&self, runner: &UpstreamId) -> u32 {
         let theirs = self.peers.values().filter_map(|peer| peer.running.get(runner));
-        self.running_at(runner) + theirs.sum::<u32>()
+        theirs.copied().fold(self.running_at(runner), u32::saturating_add)
     }
 
     /// Returns the number of this host's requests in flight, by upstream.
