Saturate the difference of a peer's spending totals

What callers saw: a daemon reads no datagram any more, so it hears of no leader and no spending, after a peer's total went from one end of the range to the other: the task that reads them ended ("attempt to subtract with overflow"), the process went on without it. A release build wraps the difference, and charges the team the wrong way round.

Test: platform/tests/odd_datagrams.rs, spending_totals_that_are_far_apart_stop_no_daemon; failed before.

--- a/crates/decisions/src/team_buckets/mod.rs
+++ b/crates/decisions/src/team_buckets/mod.rs
@@ -331,7 +331,7 @@
         };
         for spending in &report.teams {
             let before = totals.insert(spending.team.clone(), spending.total).unwrap_or(0);
-            let spent = spending.total - before;
+            let spent = spending.total.saturating_sub(before);
             #[expect(clippy::cast_precision_loss, reason = "balances are far below 2^52")]
             let balance = spending.balance as f64;
             let Some(bucket) = self.teams.get_mut(&spending.team) else {
