Saturate the sum of the tokens granted to a host

What callers saw: the leader reads no datagram any more after two grants of more tokens than a sum may hold ("attempt to add with overflow"); callers choose the number of tokens in a request, and a team without a limit is granted any. In a release build the sum wraps below zero, and by the code the next report then ends the task as well, as the bounds of a clamp are the wrong way round (not tried in a release build).

Test: platform/tests/odd_datagrams.rs, grants_of_all_tokens_stop_no_daemon; failed before.

--- a/crates/decisions/src/team_buckets/grants.rs
+++ b/crates/decisions/src/team_buckets/grants.rs
@@ -36,7 +36,7 @@
         if grant.incarnation != incarnation {
             *grant = OpenGrant { incarnation, tokens: 0, at: now };
         }
-        grant.tokens += tokens;
+        grant.tokens = grant.tokens.saturating_add(tokens);
         grant.at = now;
     }
 
