Refuse a lease row whose fencing number no holder can have

What callers saw: nobody leads after a lease row with the last fencing number: the task that takes the lease ended with "attempt to add with overflow" (a release build starts again at 0, which runners refuse). With the last but one, the next holder has no number after it.

Change: a number above those of all eras that a store can state (2^32 of 1,000,000 each) makes the row unreadable, as other bytes do: it counts as held by an unknown host, with a number of its era, and is logged. Counting on ends at the last number.

Ruled out: empty, long and nested values and such that are no text; those passed from the start.

--- a/crates/decisions/src/leader_lease.rs
+++ b/crates/decisions/src/leader_lease.rs
@@ -28,6 +28,10 @@
 /// have been lost when the store came back from an older copy.
 const FENCES_PER_ERA: u64 = 1_000_000;
 
+/// Highest fencing number of all eras that a store can state (32 bits); a row or a message with a
+/// higher one is not a holder's.
+pub const LAST_FENCE: FenceNumber = FenceNumber(FENCES_PER_ERA << 32);
+
 /// Content of the lease row.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/gateway/src/leader/lease.rs
+++ b/crates/gateway/src/leader/lease.rs
@@ -7,7 +7,7 @@
 use dotterellane_decisions::leader_candidates::{
     LeaderCandidate, candidate_rank, has_much_larger_candidate,
 };
-use dotterellane_decisions::leader_lease::{LeaseRow, LeaseStep, last_fence_before};
+use dotterellane_decisions::leader_lease::{LAST_FENCE, LeaseRow, LeaseStep, last_fence_before};
 use dotterellane_platform::{CommitOutcome, RowCondition, RowWrite, TableRow, TableTransaction};
 use dotterellane_units::{ClockInstant, FenceNumber, HostIncarnation, RowVersion};
 use tokio::time::sleep;
@@ -165,18 +165,22 @@
 /// Parses the lease's row. An invalid row counts as held by an unknown host, with a fencing number
 /// that no holder can have reached.
 fn read_lease_row(host: &Host, row: &TableRow) -> LeaseRow {
-    postcard::from_bytes(&row.value).unwrap_or_else(|error| {
-        spdlog::error!("row of the leader lease cannot be read", kv: {
-            version = row.version.to_string().as_str(),
-            cause = error.to_string().as_str(),
-        });
-        LeaseRow {
-            holder: host.settings.host.clone(),
-            incarnation: HostIncarnation(0),
-            fence: FenceNumber(last_fence_before(row.version.era).0 + row.version.number),
-            released: false,
-        }
-    })
+    let cause = match postcard::from_bytes::<LeaseRow>(&row.value) {
+        Ok(lease) if lease.fence <= LAST_FENCE => return lease,
+        Ok(lease) => format!("fencing number {} is above {LAST_FENCE}", lease.fence),
+        Err(error) => error.to_string(),
+    };
+    spdlog::error!("row of the leader lease cannot be read", kv: {
+        version = row.version.to_string().as_str(),
+        cause = cause.as_str(),
+    });
+    let fence = last_fence_before(row.version.era).0.saturating_add(row.version.number);
+    LeaseRow {
+        holder: host.settings.host.clone(),
+        incarnation: HostIncarnation(0),
+        fence: FenceNumber(fence).min(LAST_FENCE),
+        released: false,
+    }
 }
 
 async fn write_lease(host: &Arc<Host>, expected: RowVersion, row: LeaseRow) {
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -17,10 +17,10 @@
         pub struct $name(pub u64);
 
         impl $name {
-            /// Returns the following number.
+            /// Returns the following number; the last one has none and returns itself.
             #[must_use]
             pub fn next(self) -> Self {
-                Self(self.0 + 1)
+                Self(self.0.saturating_add(1))
             }
         }
 
