Saturate the worth of a waiting request

What callers saw: a request for a model that no runner holds, with a number of tokens whose tenfold is out of range, ends without a response ("attempt to multiply with overflow"); in a release build its worth wraps.

Test: platform/tests/odd_entries.rs, request_with_any_number_of_tokens_is_answered; failed before.

--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -125,7 +125,9 @@
         if let Some(choice) = &call.head.model
             && waiting.is_none()
         {
-            let worth = call.head.tokens.map_or(1_000, |(prompt, output)| prompt.0 + 10 * output.0);
+            let worth = call.head.tokens.map_or(1_000, |(prompt, output)| {
+                prompt.0.saturating_add(output.0.saturating_mul(10))
+            });
             let waiting_request = WaitingRequest {
                 service: progress.service.clone(),
                 choice: choice.clone(),
