Count a runner's orders up to the last number

What callers saw: the task that sends an order ended with "attempt to add with overflow" when a runner reported the last number as its count of orders and then accepted one, so the outcome was lost and the runner got no further orders until it was asked again. A release build counts on from 0.

Test: crates/decisions/tests/weight_plan.rs, plan_count_of_orders_at_the_last_number_ends_no_plan; failed before.

--- a/crates/decisions/src/weight_plan/runner.rs
+++ b/crates/decisions/src/weight_plan/runner.rs
@@ -162,7 +162,7 @@
     ) {
         match outcome {
             OrderOutcome::Accepted => {
-                self.accepted = Some(pending.order.expected_sequence + 1);
+                self.accepted = Some(pending.order.expected_sequence.saturating_add(1));
                 self.busy_responses = 0;
                 if pending.order.kind == OrderKind::Unload && pending.order.adapter.is_none() {
                     self.not_before = now + UNLOAD_SPAN;
@@ -172,7 +172,7 @@
             OrderOutcome::Holds => {
                 if pending.order.adapter.is_some() && pending.order.kind == OrderKind::Unload {
                     // Adapters are unloaded at once, and the runner counts the order.
-                    self.accepted = Some(pending.order.expected_sequence + 1);
+                    self.accepted = Some(pending.order.expected_sequence.saturating_add(1));
                 } else {
                     // Only a report tells whether the runner counts an order that changed
                     // nothing.
--- a/crates/decisions/tests/weight_plan.rs
+++ b/crates/decisions/tests/weight_plan.rs
@@ -550,6 +550,26 @@
     expect_that!(next.first().expect("an order").expected_sequence, eq(1));
 }
 
+// Guards against a runner that counts its orders from the last number on: the leader's plans ended
+// with the next order that it accepted.
+#[gtest]
+fn plan_count_of_orders_at_the_last_number_ends_no_plan() {
+    let (mut plan, runner, order) = plan_with_full_runner();
+    plan.on_outcome(at(6_010), &order, OrderOutcome::Accepted);
+    let last = RunnerReport { accepted: Some(u64::MAX), ..runner.snapshot() };
+    let mut orders = 0;
+    for second in 7..20 {
+        plan.on_report(at(second * 1_000), &runner_name(0), at(second * 1_000 - 100), &last);
+        want_model(&mut plan, second * 1_000);
+        for order in plan.next_orders(at(second * 1_000)) {
+            expect_that!(order.expected_sequence, eq(u64::MAX));
+            orders += 1;
+            plan.on_outcome(at(second * 1_000 + 10), &order, OrderOutcome::Accepted);
+        }
+    }
+    expect_that!(orders, gt(0));
+}
+
 #[gtest]
 fn plan_with_many_faults_still_serves() {
     let mut served = 0;
