--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -126,6 +126,10 @@
     rejected: Vec<RejectedRequest>,
     /// Target of requests that crash the runner, and the token that stops its server.
     crash_target: Option<(String, CancellationToken)>,
+    /// Part of a prompt that crashes the runner, and the token that stops its server.
+    crash_part: Option<(String, CancellationToken)>,
+    /// When such a part crashed the runner.
+    crashed_at: Option<Instant>,
     /// Fencing number and lease holder of the last order.
     fence: Option<(u64, String)>,
     /// Loaded models with their adapters.
@@ -248,6 +252,16 @@
         lock(&self.state).crash_target = Some((target.to_owned(), self.server.stop.clone()));
     }
 
+    /// Lets requests with this part of a prompt crash the runner when their answer begins.
+    pub fn crash_on_part(&self, part: &str) {
+        lock(&self.state).crash_part = Some((part.to_owned(), self.server.stop.clone()));
+    }
+
+    /// Returns when a part of a prompt crashed the runner.
+    pub fn crashed_at(&self) -> Option<Instant> {
+        lock(&self.state).crashed_at
+    }
+
     /// Sets whether all responses announce that the runner is leaving, whatever its row says.
     pub fn set_leaving(&self, leaving: bool) {
         lock(&self.state).leaving = leaving;
@@ -442,6 +456,17 @@
         stop.cancel();
         return broken_response();
     }
+    let parts_of_prompt = text("x-prompt-prefix");
+    let crash_part = lock(&state).crash_part.clone().filter(|(part, _)| {
+        let mut named = parts_of_prompt.split(',').map(|part| part.split(':').next());
+        named.any(|name| name == Some(part))
+    });
+    if let Some((_, stop)) = crash_part.filter(|_| ran) {
+        sleep(EVENT_DELAY).await;
+        lock(&state).crashed_at.get_or_insert_with(Instant::now);
+        stop.cancel();
+        return broken_response();
+    }
     if !ran {
         let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
         set_header(&mut response, "x-not-run", "1");
