Tell the crashes of one upstream apart by its starts

An id doesn't tell one start from the next; its row does.

A crash is now known by id and start, and one start crashes once, so late reports of it are no second crash either. The product's own entry does not know starts and keeps the window.

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -10,14 +10,14 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use dotterellane_units::{ClockInstant, UpstreamId};
+use dotterellane_units::ClockInstant;
 use serde::{Deserialize, Serialize};
 
 pub use dotterellane_protocol::quarantine::{
-    CrashReport, MAX_REPORT_FINGERPRINTS, RequestFingerprint,
+    CrashReport, MAX_REPORT_FINGERPRINTS, RequestFingerprint, UpstreamStart,
 };
 
-/// Reports about one upstream within this time are about the same crash.
+/// Reports about one upstream within this time are about the same crash, if its start is not known.
 pub const CRASH_WINDOW: Duration = Duration::from_secs(5);
 
 /// Time after which a crash, or a success of a suspect, is forgotten.
@@ -42,7 +42,7 @@
 
 #[derive(Clone, Debug)]
 struct CrashRecord {
-    upstream: UpstreamId,
+    upstream: UpstreamStart,
     at: ClockInstant,
     /// When the last suspect was added; hosts repeat a crash to each other for a while after that.
     suspect_added: ClockInstant,
@@ -54,7 +54,7 @@
 #[derive(Deserialize, Serialize)]
 pub struct RememberedCrash {
     /// Upstream that crashed.
-    pub runner: UpstreamId,
+    pub runner: UpstreamStart,
     /// Time since the crash.
     pub age: Duration,
     /// Suspects of this crash that are suspects of another one too.
@@ -77,7 +77,7 @@
     /// When suspects last succeeded; earlier crashes don't count against them.
     cleared: BTreeMap<RequestFingerprint, ClockInstant>,
     /// Number of in-flight requests by upstream and fingerprint.
-    in_flight: HashMap<UpstreamId, HashMap<RequestFingerprint, u32>>,
+    in_flight: HashMap<UpstreamStart, HashMap<RequestFingerprint, u32>>,
 }
 
 impl CrashTracker {
@@ -89,7 +89,7 @@
         &mut self,
         now: ClockInstant,
         fingerprint: RequestFingerprint,
-        upstream: &UpstreamId,
+        upstream: &UpstreamStart,
     ) -> bool {
         self.expire(now);
         if self.is_suspect(fingerprint) && self.has_conflict(fingerprint, upstream) {
@@ -101,7 +101,7 @@
     }
 
     /// Notes that a request is no longer in flight at `upstream`, without having succeeded there.
-    pub fn note_end(&mut self, fingerprint: RequestFingerprint, upstream: &UpstreamId) {
+    pub fn note_end(&mut self, fingerprint: RequestFingerprint, upstream: &UpstreamStart) {
         let Some(requests) = self.in_flight.get_mut(upstream) else { return };
         if let Some(count) = requests.get_mut(&fingerprint) {
             *count -= 1;
@@ -120,7 +120,7 @@
         &mut self,
         now: ClockInstant,
         fingerprint: RequestFingerprint,
-        upstream: &UpstreamId,
+        upstream: &UpstreamStart,
     ) -> Option<CrashReport> {
         self.note_end(fingerprint, upstream);
         if !self.is_suspect(fingerprint) {
@@ -137,7 +137,7 @@
         &mut self,
         now: ClockInstant,
         fingerprint: RequestFingerprint,
-        upstream: &UpstreamId,
+        upstream: &UpstreamStart,
     ) -> Vec<CrashReport> {
         let mut running = BTreeSet::from([fingerprint]);
         if let Some(requests) = self.in_flight.get(upstream) {
@@ -263,7 +263,7 @@
 
     /// Returns whether a suspect is in flight already, or another suspect is in flight at
     /// `upstream`.
-    fn has_conflict(&self, fingerprint: RequestFingerprint, upstream: &UpstreamId) -> bool {
+    fn has_conflict(&self, fingerprint: RequestFingerprint, upstream: &UpstreamStart) -> bool {
         let runs = self.in_flight.values().any(|requests| requests.contains_key(&fingerprint));
         let beside = self.in_flight.get(upstream);
         runs || beside.is_some_and(|requests| requests.keys().any(|other| self.is_suspect(*other)))
@@ -274,13 +274,14 @@
         &mut self,
         now: ClockInstant,
         at: ClockInstant,
-        upstream: &UpstreamId,
+        upstream: &UpstreamStart,
         mut suspects: BTreeSet<RequestFingerprint>,
     ) -> Vec<RequestFingerprint> {
         self.expire(now);
+        // One start of an upstream crashes once.
         let same = |crash: &CrashRecord| {
             let apart = at.since(crash.at).max(crash.at.since(at));
-            crash.upstream == *upstream && apart < CRASH_WINDOW
+            crash.upstream == *upstream && (upstream.started_at.is_some() || apart < CRASH_WINDOW)
         };
         let known = self.crashes.iter().rposition(same);
         let at = known.map_or(at, |index| self.crashes[index].at);
--- a/crates/decisions/tests/crash_day.rs
+++ b/crates/decisions/tests/crash_day.rs
@@ -7,8 +7,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dotterellane_decisions::quarantine::{CrashReport, CrashTracker, RequestFingerprint};
-use dotterellane_units::{ClockInstant, UpstreamId};
+use dotterellane_decisions::quarantine::{
+    CrashReport, CrashTracker, RequestFingerprint, UpstreamStart,
+};
+use dotterellane_units::ClockInstant;
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -99,7 +101,7 @@
     /// Starts of the runs of each deadly request.
     deadly_runs: BTreeMap<RequestFingerprint, Vec<ClockInstant>>,
     /// Upstreams that each deadly request crashed, with the times.
-    deadly_crashes: BTreeMap<RequestFingerprint, BTreeMap<UpstreamId, ClockInstant>>,
+    deadly_crashes: BTreeMap<RequestFingerprint, BTreeMap<UpstreamStart, ClockInstant>>,
 }
 
 struct CrashDay {
@@ -133,8 +135,9 @@
         }
     }
 
-    fn upstream(&self, place: usize) -> UpstreamId {
-        format!("u{place}-{}", self.places[place].crashes).parse().expect("an id")
+    fn upstream(&self, place: usize) -> UpstreamStart {
+        let upstream = format!("u{place}-{}", self.places[place].crashes);
+        UpstreamStart { upstream: upstream.parse().expect("an id"), started_at: None }
     }
 
     /// Adds a request at a random host.
--- a/crates/decisions/tests/quarantine.rs
+++ b/crates/decisions/tests/quarantine.rs
@@ -4,9 +4,9 @@
 
 use dotterellane_decisions::quarantine::{
     CRASH_RETENTION, CRASH_WINDOW, CrashReport, CrashTracker, MAX_CRASHES, MAX_REPORT_FINGERPRINTS,
-    RequestFingerprint,
+    RequestFingerprint, UpstreamStart,
 };
-use dotterellane_units::{ClockInstant, UpstreamId};
+use dotterellane_units::ClockInstant;
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -14,8 +14,12 @@
 const CRASHER: RequestFingerprint = RequestFingerprint(666);
 const INNOCENT: RequestFingerprint = RequestFingerprint(1);
 
-fn upstream(name: &str) -> UpstreamId {
-    name.parse().expect("an id")
+fn upstream(name: &str) -> UpstreamStart {
+    UpstreamStart { upstream: name.parse().expect("an id"), started_at: None }
+}
+
+fn started_upstream(name: &str, started_at: u64) -> UpstreamStart {
+    UpstreamStart { started_at: Some(started_at), ..upstream(name) }
 }
 
 fn at(millis: u64) -> ClockInstant {
@@ -238,3 +242,29 @@
     }
     expect_that!(tracker.is_quarantined(at(100_000), CRASHER), eq(true));
 }
+
+// Guards against several crashes of one upstream that restarts at once under its id being taken for
+// one, so that the request that crashes it is never quarantined.
+#[gtest]
+fn quarantine_after_crashes_of_starts_in_quick_succession() {
+    let mut tracker = CrashTracker::default();
+    for (start, millis) in [(1, 0), (2, 200)] {
+        let upstream = started_upstream("a", start);
+        tracker.try_start(at(millis), CRASHER, &upstream);
+        tracker.note_crash(at(millis), CRASHER, &upstream);
+        tracker.note_end(CRASHER, &upstream);
+    }
+    expect_that!(tracker.is_quarantined(at(201), CRASHER), eq(true));
+}
+
+// Guards against late reports of one crash being taken for another one.
+#[gtest]
+fn quarantine_not_for_late_reports_of_one_start() {
+    let mut tracker = CrashTracker::default();
+    for millis in [0, 6_000, 12_000] {
+        let report =
+            CrashReport::Crashed { runner: started_upstream("a", 1), suspects: vec![INNOCENT] };
+        tracker.absorb(at(millis), &report);
+    }
+    expect_that!(tracker.is_quarantined(at(12_001), INNOCENT), eq(false));
+}
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -8,7 +8,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use dotterellane_decisions::quarantine::{CrashReport, CrashTracker, RequestFingerprint};
+use dotterellane_decisions::quarantine::{
+    CrashReport, CrashTracker, RequestFingerprint, UpstreamStart,
+};
 use dotterellane_units::{ClockInstant, UpstreamId};
 use dotterellane_upstream::CallFault;
 use dotterellane_upstream::connect::connect_tcp;
@@ -72,7 +74,7 @@
 pub struct AttemptGuard {
     watch: CrashWatch,
     fingerprint: RequestFingerprint,
-    runner: UpstreamId,
+    runner: UpstreamStart,
     address: SocketAddr,
     open: bool,
 }
@@ -80,7 +82,7 @@
 impl AttemptGuard {
     /// Returns the runner that the request was sent to.
     pub fn runner(&self) -> &UpstreamId {
-        &self.runner
+        &self.runner.upstream
     }
 
     /// Ends the attempt as successful, which clears the request of suspicion.
@@ -139,11 +141,12 @@
     address: SocketAddr,
 ) -> Option<AttemptGuard> {
     let now = context.ports.clock.now();
-    let started = context.crashes.tracker().try_start(now, call.fingerprint, runner);
+    let runner = UpstreamStart { upstream: runner.clone(), started_at: None };
+    let started = context.crashes.tracker().try_start(now, call.fingerprint, &runner);
     started.then(|| AttemptGuard {
         watch: context.crashes.clone(),
         fingerprint: call.fingerprint,
-        runner: runner.clone(),
+        runner,
         address,
         open: true,
     })
@@ -182,6 +185,6 @@
     if reports.is_empty() {
         return;
     }
-    spdlog::warn!("{} crashed; requests running there are now suspects", attempt.runner);
+    spdlog::warn!("{} crashed; requests running there are now suspects", attempt.runner.upstream);
     reports.into_iter().for_each(|report| (context.crashes.publish)(report));
 }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterellane_decisions::quarantine::{CrashReport, RememberedCrash, RequestFingerprint};
-use dotterellane_units::{HostId, TeamId, UpstreamId};
+use dotterellane_decisions::quarantine::{
+    CrashReport, RememberedCrash, RequestFingerprint, UpstreamStart,
+};
+use dotterellane_units::{HostId, TeamId};
 use dotterellane_upstream::connect::connect_tcp;
 use rand::seq::SliceRandom;
 use tokio::time::{sleep, timeout};
@@ -30,13 +32,13 @@
 pub struct InFlightGuard {
     host: Arc<Host>,
     fingerprint: RequestFingerprint,
-    upstream: UpstreamId,
+    upstream: UpstreamStart,
     ended: bool,
 }
 
 impl InFlightGuard {
     /// Creates the guard of a request that was counted as in flight.
-    pub fn new(host: &Arc<Host>, fingerprint: RequestFingerprint, upstream: UpstreamId) -> Self {
+    pub fn new(host: &Arc<Host>, fingerprint: RequestFingerprint, upstream: UpstreamStart) -> Self {
         Self { host: host.clone(), fingerprint, upstream, ended: false }
     }
 
@@ -51,7 +53,7 @@
         drop(state);
         if let Some(report) = cleared {
             spdlog::info!("suspected request succeeded", kv: {
-                upstream = self.upstream.as_str(),
+                upstream = self.upstream.upstream.as_str(),
                 fingerprint = self.fingerprint.to_string().as_str(),
                 crashes = summary.crashes,
             });
@@ -96,7 +98,7 @@
         let summary = state.crashes.summary(fingerprint);
         drop(state);
         spdlog::warn!("upstream crashed while running a request", kv: {
-            upstream = upstream.as_str(),
+            upstream = upstream.upstream.as_str(),
             fingerprint = fingerprint.to_string().as_str(),
             crashes = summary.crashes,
             companions = summary.companions,
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterellane_decisions::quarantine::CrashSummary;
+use dotterellane_decisions::quarantine::{CrashSummary, UpstreamStart};
 use dotterellane_decisions::send_permits::SendPermit;
 use dotterellane_decisions::upstream_choice::{UpstreamCandidate, choose_upstream};
 use dotterellane_units::{ClockInstant, UpstreamId};
@@ -220,10 +220,11 @@
         return Ok(Selection::Limited(PermitStep::Nothing));
     };
     let (address, started_at) = (entry.address, entry.report.started_at);
-    if !state.crashes.try_start(now, progress.fingerprint, &name) {
+    let start = UpstreamStart { upstream: name.clone(), started_at: Some(started_at) };
+    if !state.crashes.try_start(now, progress.fingerprint, &start) {
         return Ok(Selection::Limited(PermitStep::Nothing));
     }
-    let in_flight = InFlightGuard::new(host, progress.fingerprint, name.clone());
+    let in_flight = InFlightGuard::new(host, progress.fingerprint, start);
     let running_guard = RunningGuard::new(host, &mut state, name.clone(), call.head.model.clone());
     let candidates = open.len() + limited.len();
     Ok(Selection::Selected(Box::new(SelectedUpstream {
--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -20,6 +20,16 @@
     }
 }
 
+/// One start of an upstream. After a restart it is another one, although its id may be the same.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub struct UpstreamStart {
+    /// Id of the upstream.
+    pub upstream: UpstreamId,
+    /// When it started, in milliseconds as it states it; `None` if that is not known.
+    pub started_at: Option<u64>,
+}
+
 /// Report from one host to all others.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -27,7 +37,7 @@
     /// An upstream crashed while requests of this host were running there.
     Crashed {
         /// Upstream that crashed.
-        runner: UpstreamId,
+        runner: UpstreamStart,
         /// Requests of the reporting host that were running there.
         suspects: Vec<RequestFingerprint>,
     },
