--- a/crates/decisions/tests/crash_day.rs
+++ b/crates/decisions/tests/crash_day.rs
@@ -7,8 +7,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dotterellane_decisions::quarantine::{CrashReport, CrashTracker, RequestFingerprint};
-use dotterellane_units::{ClockInstant, UpstreamId};
+use dotterellane_decisions::quarantine::{
+    CrashReport, CrashTracker, RequestFingerprint, UpstreamStart,
+};
+use dotterellane_units::ClockInstant;
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -99,7 +101,7 @@
     /// Starts of the runs of each deadly request.
     deadly_runs: BTreeMap<RequestFingerprint, Vec<ClockInstant>>,
     /// Upstreams that each deadly request crashed, with the times.
-    deadly_crashes: BTreeMap<RequestFingerprint, BTreeMap<UpstreamId, ClockInstant>>,
+    deadly_crashes: BTreeMap<RequestFingerprint, BTreeMap<UpstreamStart, ClockInstant>>,
 }
 
 struct CrashDay {
@@ -133,8 +135,9 @@
         }
     }
 
-    fn upstream(&self, place: usize) -> UpstreamId {
-        format!("u{place}-{}", self.places[place].crashes).parse().expect("an id")
+    fn upstream(&self, place: usize) -> UpstreamStart {
+        let upstream = format!("u{place}-{}", self.places[place].crashes);
+        UpstreamStart { upstream: upstream.parse().expect("an id"), started_at: None }
     }
 
     /// Adds a request at a random host.
@@ -200,7 +203,7 @@
     fn start(&mut self) {
         for mut request in std::mem::take(&mut self.waiting) {
             let now = self.now;
-            if self.trackers[request.host].is_quarantined(now, request.fingerprint) {
+            if self.trackers[request.host].is_quarantined(now, &request.fingerprint.into()) {
                 self.outcome.refused += usize::from(!request.deadly);
                 continue;
             }
@@ -218,7 +221,7 @@
                 continue;
             };
             let upstream = self.upstream(place);
-            if !self.trackers[request.host].try_start(now, request.fingerprint, &upstream) {
+            if !self.trackers[request.host].try_start(now, &request.fingerprint.into(), &upstream) {
                 self.waiting.push(request);
                 continue;
             }
@@ -246,7 +249,9 @@
             self.outcome.served += 1;
             let upstream = self.upstream(run.place);
             let tracker = &mut self.trackers[run.request.host];
-            if let Some(report) = tracker.note_success(now, run.request.fingerprint, &upstream) {
+            if let Some(report) =
+                tracker.note_success(now, &run.request.fingerprint.into(), &upstream)
+            {
                 self.send_report(run.request.host, &report);
             }
         }
@@ -267,7 +272,7 @@
                 crashes.insert(upstream.clone(), self.now);
             }
             let tracker = &mut self.trackers[request.host];
-            let reports = tracker.note_crash(self.now, request.fingerprint, &upstream);
+            let reports = tracker.note_crash(self.now, &request.fingerprint.into(), &upstream);
             tracker.note_end(request.fingerprint, &upstream);
             for report in reports {
                 self.send_report(request.host, &report);
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -8,7 +8,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use dotterellane_decisions::quarantine::{CrashReport, CrashTracker, RequestFingerprint};
+use dotterellane_decisions::quarantine::{
+    CrashReport, CrashTracker, RequestFingerprint, UpstreamStart,
+};
 use dotterellane_units::{ClockInstant, UpstreamId};
 use dotterellane_upstream::CallFault;
 use dotterellane_upstream::connect::connect_tcp;
@@ -72,7 +74,7 @@
 pub struct AttemptGuard {
     watch: CrashWatch,
     fingerprint: RequestFingerprint,
-    runner: UpstreamId,
+    runner: UpstreamStart,
     address: SocketAddr,
     open: bool,
 }
@@ -80,13 +82,14 @@
 impl AttemptGuard {
     /// Returns the runner that the request was sent to.
     pub fn runner(&self) -> &UpstreamId {
-        &self.runner
+        &self.runner.upstream
     }
 
     /// Ends the attempt as successful, which clears the request of suspicion.
     pub fn completed(mut self, now: ClockInstant) {
         self.open = false;
-        let cleared = self.watch.tracker().note_success(now, self.fingerprint, &self.runner);
+        let cleared =
+            self.watch.tracker().note_success(now, &self.fingerprint.into(), &self.runner);
         if let Some(report) = cleared {
             (self.watch.publish)(report);
         }
@@ -121,7 +124,7 @@
     reached: bool,
 ) -> Result<(), EntryRefusal> {
     let now = context.ports.clock.now();
-    if !context.crashes.tracker().is_quarantined(now, call.fingerprint) {
+    if !context.crashes.tracker().is_quarantined(now, &call.fingerprint.into()) {
         return Ok(());
     }
     let message =
@@ -139,11 +142,12 @@
     address: SocketAddr,
 ) -> Option<AttemptGuard> {
     let now = context.ports.clock.now();
-    let started = context.crashes.tracker().try_start(now, call.fingerprint, runner);
+    let runner = UpstreamStart { upstream: runner.clone(), started_at: None };
+    let started = context.crashes.tracker().try_start(now, &call.fingerprint.into(), &runner);
     started.then(|| AttemptGuard {
         watch: context.crashes.clone(),
         fingerprint: call.fingerprint,
-        runner: runner.clone(),
+        runner,
         address,
         open: true,
     })
@@ -178,10 +182,11 @@
         return;
     }
     let now = context.ports.clock.now();
-    let reports = context.crashes.tracker().note_crash(now, attempt.fingerprint, &attempt.runner);
+    let reports =
+        context.crashes.tracker().note_crash(now, &attempt.fingerprint.into(), &attempt.runner);
     if reports.is_empty() {
         return;
     }
-    spdlog::warn!("{} crashed; requests running there are now suspects", attempt.runner);
+    spdlog::warn!("{} crashed; requests running there are now suspects", attempt.runner.upstream);
     reports.into_iter().for_each(|report| (context.crashes.publish)(report));
 }
