--- a/crates/gateway/src/beside.rs
+++ b/crates/gateway/src/beside.rs
@@ -56,7 +56,7 @@
 /// Asks one other upstream while `first`, the next thing that the upstream `silent` sends, is
 /// awaited. Returns as soon as `first` yields something that `is_sound`, or the other upstream has
 /// responded or refused. The other's attempt is dropped in the first case, and still counts. A
-/// stream counts as a response from its first event on, or [`HANDOVER_OVERLAP`] after its head; until
+/// stream counts as a response from its first event on, or `HANDOVER_OVERLAP` after its head; until
 /// then, the silent upstream's connection is only kept in case the other one breaks off.
 pub async fn ask_beside<T, F, S>(
     host: &Arc<Host>,
