Hand a silent stream over only to an upstream that continues it

While its upstream was silent for 1.9 s, a sound stream was cut if the upstream asked beside it answered with success but started over, left events out, or sent none: the first event of any kind counted as its beginning, and whether it continues the stream was looked at when the silent upstream had been let go.

--- a/crates/gateway/src/peeked.rs
+++ b/crates/gateway/src/peeked.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -53,6 +53,23 @@
     }
 }
 
+impl PeekedBody {
+    /// Returns the data that was received ahead, and whether the body ends with it.
+    pub fn received(&self) -> (Bytes, bool) {
+        let mut data = BytesMut::new();
+        let mut is_over = false;
+        for frame in &self.ahead {
+            match frame {
+                Some(Ok(frame)) => {
+                    data.extend_from_slice(frame.data_ref().map_or(&[][..], AsRef::as_ref))
+                }
+                Some(Err(_)) | None => is_over = true,
+            }
+        }
+        (data.freeze(), is_over)
+    }
+}
+
 impl Body for PeekedBody {
     type Data = Bytes;
     type Error = hyper::Error;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -411,22 +411,38 @@
         let first = segment.source.read();
         let (host, call) = (&self.host, &self.call);
         let end = ask_beside(host, call, admission, progress, silent, first, is_sound).await;
-        match (end.other, end.first) {
-            (Some((selected, head)), _) if self.kind.is_continued_by(&head) => {
+        if let Some((selected, head)) = end.other {
+            if self.continues(&segment.source.framer, &head) {
                 let source = &segment.source;
                 let (mut framer, resumable) = (source.framer.clone(), source.resumable);
                 framer.discard();
                 let next = Segment::new(selected, head, framer, resumable, &self.progress);
-                SearchEnd::Ended(SegmentEnd::Replaced(Box::new(next)))
+                return SearchEnd::Ended(SegmentEnd::Replaced(Box::new(next)));
             }
-            (_, Some(piece)) => SearchEnd::Piece(piece),
-            (_, None) if end.gone => {
+            self.log_break(selected.name.as_str(), &segment.source.framer, "not the same stream");
+            drop(head);
+            note_replaced(&self.host, selected);
+        }
+        match end.first {
+            Some(piece) => SearchEnd::Piece(piece),
+            None if end.gone => {
                 SearchEnd::Piece(StreamPiece::Broken("upstream is silent and gone".to_owned()))
             }
-            (_, None) => SearchEnd::Nobody,
+            None => SearchEnd::Nobody,
         }
     }
 
+    /// Returns whether what was received of a response so far continues the stream after the events
+    /// that `framer` knows.
+    fn continues(&self, framer: &EventFramer, head: &Response<PeekedBody>) -> bool {
+        let mut framer = framer.clone();
+        framer.discard();
+        let (data, is_over) = head.body().received();
+        framer.push(&data);
+        let may_follow = framer.may_end() || !is_over;
+        self.kind.is_continued_by(head) && !framer.is_misplaced() && may_follow
+    }
+
     /// Remembers after which event another runner has to resume; returns whether one can.
     fn note_resume_point(&mut self, framer: &EventFramer) -> bool {
         match framer.resume_point() {
