Ask a silent upstream again on a new connection before its caller leaves

A connection may go dead without a sign while new ones work. Since a silent upstream is kept and never asked again, a stream with a single holder of its model then waited for the kernel's keep-alive, longer than callers do (4.4 s of 2.4 s in the new test).

After three quarters of the idle timeout the silent upstream may be selected itself, beside its old connection; the old one is dropped when the new one has begun. A row that states another start no longer counts as its end: a host may know the row of a start too late, and a sound answer would be cut on the row alone; a refused connection or a break still shows the end.

silence_of_a_dead_connection_ends_on_a_new_one failed before; the other tests of silent, slow, broken and resumed streams pass.

--- a/crates/gateway/src/beside.rs
+++ b/crates/gateway/src/beside.rs
@@ -9,13 +9,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterellane_units::UpstreamId;
 use dotterellane_upstream::connect::connect_tcp;
 use http::Response;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::crashes::check_for_crash;
-use crate::dispatch::{RequestProgress, SendOutcome, send_once};
+use crate::dispatch::{RequestProgress, SendOutcome, SilentAttempt, send_once};
 use crate::handler::{Admission, GatewayCall};
 use crate::peeked::PeekedBody;
 use crate::selection::{SelectedUpstream, select_upstream};
@@ -40,6 +39,8 @@
     pub selected: &'a mut SelectedUpstream,
     /// Whether a new connection is to show whether it is gone.
     pub probes: bool,
+    /// Whether it may be asked again itself, as only its connection may have gone dead.
+    pub may_repeat: bool,
 }
 
 /// What came of asking another upstream beside a silent one.
@@ -73,18 +74,15 @@
 {
     let mut end = BesideEnd { first: None, gone: false, other: None };
     let mut probing = silent.probes;
-    progress.silent = Some(silent.selected.name.clone());
+    let upstream = silent.selected.name.clone();
+    progress.silent = Some(SilentAttempt { upstream, may_repeat: silent.may_repeat });
     {
         let mut asking = pin!(ask_other(host, call, admission.clone(), progress));
         let mut other = None;
         let mut refused = false;
         let mut overlap = pin!(sleep(HANDOVER_OVERLAP));
         let is_stream = admission.route.kind.is_stream();
-        let (name, address, started_at) = {
-            let SelectedUpstream { name, address, started_at, .. } = &*silent.selected;
-            (name.clone(), *address, *started_at)
-        };
-        let mut probe = pin!(is_gone(host, &name, address, started_at));
+        let mut probe = pin!(is_gone(silent.selected.address));
         let mut first = pin!(first);
         loop {
             tokio::select! {
@@ -189,17 +187,10 @@
     None
 }
 
-/// Returns whether an upstream was restarted since `started_at`, or refuses a new connection as
-/// nothing listens at its address.
-async fn is_gone(host: &Host, name: &UpstreamId, address: SocketAddr, started_at: u64) -> bool {
-    let restarted = {
-        let state = host.state();
-        let known = state.directory.get(name);
-        known.is_some_and(|known| known.entry.report.started_at != started_at)
-    };
-    let refused = match timeout(PROBE_TIMEOUT, connect_tcp(address)).await {
+/// Returns whether an upstream refuses a new connection, as nothing listens at its address.
+async fn is_gone(address: SocketAddr) -> bool {
+    match timeout(PROBE_TIMEOUT, connect_tcp(address)).await {
         Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
-    };
-    restarted || refused
+    }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -65,8 +65,8 @@
     /// Number of attempts in which the request may have run; counted when it is sent, and taken
     /// back if the upstream shows that it did not run.
     pub runs: u32,
-    /// Upstream that is at work on the request but silent; no other attempt goes there.
-    pub silent: Option<UpstreamId>,
+    /// Attempt whose upstream is silent, while another upstream is sought beside it.
+    pub silent: Option<SilentAttempt>,
     /// Id of the last event that the caller has received, for resuming a stream.
     pub last_event: Option<HeaderValue>,
     /// What of the request may crash upstreams.
@@ -75,6 +75,15 @@
     pub retry: Option<RetryReservation>,
 }
 
+/// An attempt whose upstream may be at work but is silent.
+#[derive(Clone, Debug)]
+pub struct SilentAttempt {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Whether another attempt may go there, too.
+    pub may_repeat: bool,
+}
+
 /// Why a request went to its upstream, for the log line of the response.
 #[derive(Clone, Debug)]
 pub struct DispatchTrace {
@@ -271,7 +280,7 @@
             return classify(host, call, progress, pending.selected, pending.asked_at, sent);
         }
         let PendingSend { selected, head, .. } = &mut pending;
-        let silent = SilentUpstream { selected, probes };
+        let silent = SilentUpstream { selected, probes, may_repeat: false };
         let is_sound =
             |sent: &SentHead| matches!(sent, Ok(response) if response.status().is_success());
         let end = ask_beside(host, call, admission, progress, silent, head, is_sound).await;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,6 +36,10 @@
 /// the route's event gap; the longer of both times applies.
 const STALL_EVENT_GAPS: u32 = 5;
 
+/// Fraction of the idle timeout after which a silent runner is asked again itself, on a new
+/// connection: the old one may have gone dead without a sign.
+const REPEAT_SILENCE_FRACTION: f64 = 0.75;
+
 /// Time beyond the deadline in which a stream that is still flowing may end.
 const DEADLINE_GRACE: Duration = Duration::from_millis(250);
 
@@ -340,10 +344,15 @@
         });
     }
 
+    /// Returns the time without an event after which another runner is asked.
+    fn stall_timeout(&self) -> Duration {
+        MIN_STALL_TIMEOUT.max(self.admission.route.event_gap * STALL_EVENT_GAPS)
+    }
+
     /// Relays what one runner sends.
     async fn relay_segment(&mut self, segment: &mut Segment) -> SegmentEnd {
         let end = self.progress.deadline + DEADLINE_GRACE;
-        let longest = MIN_STALL_TIMEOUT.max(self.admission.route.event_gap * STALL_EVENT_GAPS);
+        let longest = self.stall_timeout();
         // Only complete events reset the stall timeout: a stalled runner may still send single
         // bytes.
         let mut search_at = self.host.now() + longest;
@@ -403,11 +412,14 @@
     /// Asks another runner to resume the stream while the one of `segment` is silent.
     async fn resume_beside(&mut self, segment: &mut Segment) -> SearchEnd {
         let probes = segment.silent_since.is_none();
-        segment.silent_since.get_or_insert(self.host.now());
+        let now = self.host.now();
+        let silence = now.since(*segment.silent_since.get_or_insert(now)) + self.stall_timeout();
+        let may_repeat =
+            silence >= self.admission.route.idle_timeout().mul_f64(REPEAT_SILENCE_FRACTION);
         self.note_resume_point(&segment.source.framer);
         let is_sound = |piece: &StreamPiece| !matches!(piece, StreamPiece::Broken(_));
         let (admission, progress) = (&self.admission, &mut self.progress);
-        let silent = SilentUpstream { selected: &mut segment.selected, probes };
+        let silent = SilentUpstream { selected: &mut segment.selected, probes, may_repeat };
         let first = segment.source.read();
         let (host, call) = (&self.host, &self.call);
         let end = ask_beside(host, call, admission, progress, silent, first, is_sound).await;
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use crate::crashes::InFlightGuard;
-use crate::dispatch::{NO_UPSTREAM_RETRY_AFTER, RequestProgress};
+use crate::dispatch::{NO_UPSTREAM_RETRY_AFTER, RequestProgress, SilentAttempt};
 use crate::handler::{Admission, GatewayCall, admit};
 use crate::permit_search::{PermitSearch, PermitStep};
 use crate::permits::request_permit;
@@ -203,7 +203,10 @@
     let (limited, open): (Vec<UpstreamCandidate>, Vec<UpstreamCandidate>) = state
         .directory
         .usable(&progress.service, now)
-        .filter(|(name, _)| progress.silent.as_ref() != Some(*name))
+        .filter(|(name, _)| {
+            let excludes = |silent: &SilentAttempt| !silent.may_repeat && silent.upstream == **name;
+            !progress.silent.as_ref().is_some_and(excludes)
+        })
         .filter(|(_, known)| choice.is_none_or(|choice| known.holds(choice, now)))
         .map(|(name, known)| UpstreamCandidate {
             name: name.clone(),
