--- a/crates/decisions/src/quarantine/mod.rs
+++ b/crates/decisions/src/quarantine/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! Each request in flight at an upstream when it crashes is a suspect of that crash, and so is each
 //! part of its prompt that other requests share. Hosts exchange the suspects of each crash. What the
-//! crashes have in common, and what has not succeeded since, is convicted (`CrashVerdict`); requests
-//! that are convicted, or have a convicted part, are quarantined. Requests that are suspects of a
-//! first crash are not run side by side, so that a second crash has only one of them as a suspect.
+//! crashes have in common, and what has not succeeded since, is quarantined (`CrashVerdict`): such a
+//! request, or one with such a part, is refused. Requests that are suspects of a first crash are not
+//! run side by side, so that a second crash has only one of them as a suspect.
 
 mod sound_parts;
 mod verdict;
@@ -36,8 +36,8 @@
 /// Largest number of suspects of one crash; beyond it only suspects of other crashes are added.
 pub const MAX_CRASH_SUSPECTS: usize = 1_024;
 
-/// Crashes of a convicted suspect that are kept when the oldest ones must be dropped.
-const KEPT_CONVICTED_CRASHES: usize = 16;
+/// Crashes of a quarantined suspect that are kept when the oldest ones must be dropped.
+const KEPT_QUARANTINED_CRASHES: usize = 16;
 
 /// What may crash an upstream that runs a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -79,7 +79,7 @@
     pub runner: UpstreamStart,
     /// Time since the crash.
     pub age: Duration,
-    /// Its convicted suspects; if there are none, those that are suspects of another crash too.
+    /// Its quarantined suspects; if there are none, those that are suspects of another crash too.
     pub suspects: Vec<CrashSuspect>,
 }
 
@@ -262,8 +262,8 @@
         if self.crashes.is_empty() {
             return false;
         }
-        let convicted = &self.verdict(now).convicted;
-        !convicted.is_empty() && identity.suspects().any(|suspect| convicted.contains(&suspect))
+        let quarantined = &self.verdict(now).quarantined;
+        !quarantined.is_empty() && identity.suspects().any(|suspect| quarantined.contains(&suspect))
     }
 
     /// Returns the crashes of a request, or of the part of its prompt with most of them.
@@ -278,10 +278,10 @@
         CrashSummary { crashes: verdict.count(suspect), suspect, companions: repeated.count() }
     }
 
-    /// Returns the number of convicted suspects.
-    pub fn convicted_count(&mut self, now: ClockInstant) -> usize {
+    /// Returns the number of quarantined suspects.
+    pub fn quarantined_count(&mut self, now: ClockInstant) -> usize {
         self.expire(now);
-        self.verdict(now).convicted.len()
+        self.verdict(now).quarantined.len()
     }
 
     fn verdict(&mut self, now: ClockInstant) -> &CrashVerdict {
@@ -402,15 +402,15 @@
     }
 
     /// Returns the index of the crash to drop: the oldest one whose suspects have no other crash,
-    /// else the oldest one whose convicted suspects keep enough others, else the oldest.
+    /// else the oldest one whose quarantined suspects keep enough others, else the oldest.
     fn least_needed(&mut self, now: ClockInstant) -> usize {
         let verdict = self.verdict(now).clone();
         let is_single =
             |crash: &CrashRecord| crash.suspects.iter().all(|one| verdict.count(*one) < 2);
         let is_spare = |crash: &CrashRecord| {
-            let mut convicted = crash.suspects.intersection(&verdict.convicted).peekable();
-            convicted.peek().is_some()
-                && convicted.all(|suspect| verdict.count(*suspect) > KEPT_CONVICTED_CRASHES)
+            let mut quarantined = crash.suspects.intersection(&verdict.quarantined).peekable();
+            quarantined.peek().is_some()
+                && quarantined.all(|suspect| verdict.count(*suspect) > KEPT_QUARANTINED_CRASHES)
         };
         let single = self.crashes.iter().position(is_single);
         single.or_else(|| self.crashes.iter().position(is_spare)).unwrap_or(0)
--- a/crates/decisions/src/quarantine/verdict.rs
+++ b/crates/decisions/src/quarantine/verdict.rs
@@ -1,7 +1,7 @@
 //! Finds out what crashes have in common.
 //!
-//! A suspect that is convicted explains the crashes that it is a suspect of. The suspect of most
-//! crashes is convicted first, so that others, which only shared its crashes, are not.
+//! A suspect that is quarantined explains the crashes that it is a suspect of. The suspect of most
+//! crashes is quarantined first, so that others, which only shared its crashes, are not.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
@@ -11,10 +11,10 @@
 
 use super::CrashRecord;
 
-/// Crashes after which a request is convicted if it is the sole repeated request of one of them.
-const CRASHES_TO_CONVICT: usize = 2;
+/// Crashes after which a request is quarantined if it is the sole repeated request of one of them.
+const CRASHES_TO_QUARANTINE: usize = 2;
 
-/// Crashes after which a suspect is convicted even if others share all of them.
+/// Crashes after which a suspect is quarantined even if others share all of them.
 const CRASHES_DESPITE_COMPANIONS: usize = 3;
 
 /// Number of crashes within [`MASS_SPAN`] of a crash, itself included, from which on two crashes do
@@ -32,10 +32,10 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashVerdict {
     /// Suspects whose requests must be refused.
-    pub(super) convicted: BTreeSet<CrashSuspect>,
+    pub(super) quarantined: BTreeSet<CrashSuspect>,
     /// Number of crashes of each suspect.
     pub(super) counts: HashMap<CrashSuspect, usize>,
-    /// Suspects of crashes that no convicted one explains.
+    /// Suspects of crashes that no quarantined one explains.
     open: HashSet<CrashSuspect>,
     /// When time alone may change this verdict, as crashes that came at once are old enough then.
     review_at: Option<ClockInstant>,
@@ -55,18 +55,18 @@
         let mut open: Vec<&CrashRecord> = crashes.iter().collect();
         let mut tallies = tally(&open);
         let counts = tallies.iter().map(|(suspect, tally)| (*suspect, tally.count)).collect();
-        let mut convicted = BTreeSet::new();
+        let mut quarantined = BTreeSet::new();
         loop {
-            let next = next_convicted(now, crashes, &open, &tallies);
+            let next = next_quarantined(now, crashes, &open, &tallies);
             if next.is_empty() {
                 break;
             }
             open.retain(|crash| crash.suspects.is_disjoint(&next));
-            convicted.extend(next);
+            quarantined.extend(next);
             tallies = tally(&open);
         }
         let review_at = next_review(now, &tallies);
-        Self { convicted, counts, open: tallies.into_keys().collect(), review_at }
+        Self { quarantined, counts, open: tallies.into_keys().collect(), review_at }
     }
 
     /// Returns whether the verdict holds at `now` if no crash changed.
@@ -86,9 +86,9 @@
 
     /// Returns the suspects of a crash that another host needs to reach the same verdict.
     pub(super) fn evidence(&self, crash: &CrashRecord) -> Vec<CrashSuspect> {
-        let convicted: Vec<_> = crash.suspects.intersection(&self.convicted).copied().collect();
-        if !convicted.is_empty() {
-            return convicted;
+        let quarantined: Vec<_> = crash.suspects.intersection(&self.quarantined).copied().collect();
+        if !quarantined.is_empty() {
+            return quarantined;
         }
         let repeated = crash.suspects.iter().filter(|suspect| self.count(**suspect) > 1);
         repeated.copied().collect()
@@ -108,10 +108,10 @@
     tallies
 }
 
-/// Returns the suspects that are convicted next: the parts with most crashes, or all requests that
+/// Returns the suspects that are quarantined next: the parts with most crashes, or all requests that
 /// can be if none of the parts has more. Requests go first, as others may share the parts; they do
 /// not explain each other's crashes, as several may be guilty and always meet.
-fn next_convicted(
+fn next_quarantined(
     now: ClockInstant,
     crashes: &[CrashRecord],
     open: &[&CrashRecord],
@@ -119,7 +119,7 @@
 ) -> BTreeSet<CrashSuspect> {
     let candidates = tallies.keys().copied();
     let candidates =
-        candidates.filter(|suspect| is_convicted(now, crashes, open, tallies, *suspect));
+        candidates.filter(|suspect| is_quarantined(now, crashes, open, tallies, *suspect));
     let (parts, requests): (BTreeSet<_>, BTreeSet<_>) =
         candidates.partition(|suspect| matches!(suspect, CrashSuspect::Part(_)));
     let most = |suspects: &BTreeSet<CrashSuspect>| {
@@ -132,7 +132,7 @@
     parts.into_iter().filter(|part| tallies[part].count == most_of_parts).collect()
 }
 
-fn is_convicted(
+fn is_quarantined(
     now: ClockInstant,
     crashes: &[CrashRecord],
     open: &[&CrashRecord],
@@ -147,7 +147,7 @@
         return true;
     }
     let mut shared = open.iter().filter(|crash| crash.suspects.contains(&suspect));
-    tally.count >= CRASHES_TO_CONVICT
+    tally.count >= CRASHES_TO_QUARANTINE
         && shared.clone().all(|crash| !is_mass_crash(crashes, crash))
         && shared.any(|crash| is_sole_repeated(tallies, suspect, crash))
 }
@@ -177,7 +177,7 @@
 }
 
 /// Returns whether no other request that is a suspect of `crash` has enough crashes to be
-/// convicted.
+/// quarantined.
 fn is_sole_repeated(
     tallies: &HashMap<CrashSuspect, SuspectTally>,
     suspect: CrashSuspect,
@@ -187,7 +187,7 @@
         .suspects
         .iter()
         .filter(|other| **other != suspect && matches!(other, CrashSuspect::Request(_)));
-    others.all(|other| tallies[other].count < CRASHES_TO_CONVICT)
+    others.all(|other| tallies[other].count < CRASHES_TO_QUARANTINE)
 }
 
 /// Returns whether so many upstreams crashed at the same time that a request is not the cause.
--- a/crates/decisions/tests/quarantine.rs
+++ b/crates/decisions/tests/quarantine.rs
@@ -120,7 +120,7 @@
     let mut tracker = CrashTracker::default();
     crash(&mut tracker, at(0), "a", &[CRASHER]);
     crash(&mut tracker, at(10), "b", &[CRASHER]);
-    expect_that!(tracker.convicted_count(at(11)), eq(1));
+    expect_that!(tracker.quarantined_count(at(11)), eq(1));
     let later = at(10) + CRASH_RETENTION + Duration::from_millis(1);
     expect_that!(tracker.is_quarantined(later, &CRASHER.into()), eq(false));
 }
@@ -323,7 +323,7 @@
     expect_that!(tracker.is_quarantined(now, &shared), eq(true));
     succeed(&mut tracker, now, &shared);
     expect_that!(tracker.is_quarantined(at(26_002), &shared), eq(false));
-    expect_that!(tracker.convicted_count(at(26_002)), eq(1));
+    expect_that!(tracker.quarantined_count(at(26_002)), eq(1));
 }
 
 #[gtest]
@@ -338,7 +338,7 @@
         tracker.note_crash(at(millis), &running, &upstream);
         tracker.note_end(running.request, &upstream);
     }
-    expect_that!(tracker.convicted_count(at(30_000)), eq(0));
+    expect_that!(tracker.quarantined_count(at(30_000)), eq(0));
 }
 
 #[gtest]
@@ -358,8 +358,8 @@
         answers.iter().for_each(|answer| one.absorb(at(millis), answer));
     }
     expect_that!(answers.len(), eq(1));
-    expect_that!(one.convicted_count(at(30_000)), eq(0));
-    expect_that!(two.convicted_count(at(30_000)), eq(0));
+    expect_that!(one.quarantined_count(at(30_000)), eq(0));
+    expect_that!(two.quarantined_count(at(30_000)), eq(0));
 }
 
 // Guards against a guilty part being forgotten because crashes with many other parts displaced its
