Keep a silent stream until another upstream has sent an event

Callers saw: with two upstreams that are each silent for 1.75 s before events 2 and 5, a resumable stream was cut at its deadline of 4 s, though one upstream alone ends it in 3.5 s.

Cause: from the other upstream's head on, what the silent one sent was no longer taken, and 250 ms later it was let go. Where the other one is silent after its head, too, the caller waits for a whole silence more. The class: what replaces is not yet better than what is held.

Now the first event counts, whoever sends it, up to 300 ms after the other's head; then the other one takes over as before, as two may not be at work for longer than 400 ms. If the silent one goes on, the other attempt is dropped and counts as a run; if it breaks off, the other one takes over at once. If both are ready, the other one counts, as its run has begun.

Ruled out: choosing between the two after those 300 ms otherwise (silence_that_lasts_is_handed_over has an upstream whose first event takes 0.9 s after its head); asking later than 1.5 s (callers may leave after 2 s).

--- a/crates/gateway/src/beside.rs
+++ b/crates/gateway/src/beside.rs
@@ -23,8 +23,9 @@
 /// Interval between two searches for another upstream while one is silent.
 pub const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time for which the silent upstream is kept after the head of the one that takes a stream over.
-const HANDOVER_OVERLAP: Duration = Duration::from_millis(250);
+/// Time within which the other upstream's first event has to follow its head for the silent one to
+/// be kept. Two may not be at work for longer than 400 ms, and a close takes time to arrive.
+const HANDOVER_OVERLAP: Duration = Duration::from_millis(300);
 
 /// Maximum number of upstreams in one search that turn out to be unreachable.
 const MAX_UNREACHABLE: u32 = 3;
@@ -57,8 +58,8 @@
 /// Asks one other upstream while `first`, the next thing that the upstream `silent` sends, is
 /// awaited. Returns as soon as `first` yields something that `is_sound`, or the other upstream has
 /// responded or refused. The other's attempt is dropped in the first case, and still counts. A
-/// stream counts as a response from its first event on, or `HANDOVER_OVERLAP` after its head; until
-/// then, the silent upstream's connection is only kept in case the other one breaks off.
+/// stream counts as a response from its first event on, or `HANDOVER_OVERLAP` after its head: the
+/// head alone is not better than what the silent upstream may send next.
 pub async fn ask_beside<T, F, S>(
     host: &Arc<Host>,
     call: &Arc<GatewayCall>,
@@ -87,14 +88,23 @@
         loop {
             tokio::select! {
                 biased;
-                next = &mut first, if end.first.is_none() && !end.gone && other.is_none() => {
+                begun = await_event(&mut other), if other.is_some() => {
+                    match other.take() {
+                        Some(asked) if begun => end.other = Some(asked),
+                        Some((selected, _)) => note_replaced(host, selected),
+                        None => {}
+                    }
+                    break;
+                }
+                next = &mut first, if end.first.is_none() && !end.gone => {
                     let sound = is_sound(&next);
                     end.first = Some(next);
                     if sound {
                         break;
                     }
                     note_failed(host, silent.selected);
-                    if refused {
+                    end.other = other.take();
+                    if refused || end.other.is_some() {
                         break;
                     }
                 }
@@ -119,14 +129,6 @@
                         break;
                     }
                 },
-                begun = await_event(&mut other), if other.is_some() => {
-                    match other.take() {
-                        Some(asked) if begun => end.other = Some(asked),
-                        Some((selected, _)) => note_replaced(host, selected),
-                        None => {}
-                    }
-                    break;
-                }
                 () = &mut overlap, if other.is_some() => {
                     end.other = other.take();
                     break;
