Let a stream go on only at the software version that began it

Cause: nobody read the version in the runners' rows. On four ways a stream that goes on chose its runner anew by model alone: after a break, beside a silent runner, in a further send, and when its caller takes it up. The class: what a promise hangs on is known to the process that made it, and to nobody after it.

The version is decoded in platform/ (text; anything else is unknown and equals no other) and belongs to a start, as the row's other fields do. select_upstream, through which all four ways go, takes the one version that may run the request. Which one began a stream is found out in this order: - this host began it, or was told; - one version alone has served for as long as a stream can be resumed: a history of versions in the store, written by the leader before a version is used, announced with its time, so that old knowledge is no proof; - four hosts by rendezvous over the digest of team and first id; two were told at the first event, only while several versions may serve; - rows in the store, written in batches of each host in the same times, 20 writes a second at most over all hosts: they outlast a kill of all. Otherwise the take-up is refused at once, and has not run; without Retry-After if all answered, or if its version serves no more.

Ruled out: versions shared out by the id (binds new streams to runners that do not hold their model); a digest told to others alone (lost with a kill of all); the history alone (says nothing while two versions serve).

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod send_permits;
 pub mod shares;
 pub mod store_clock;
+pub mod stream_versions;
 pub mod team_buckets;
 pub mod upstream_choice;
 pub mod weight_plan;
--- a/crates/gateway/src/beside.rs
+++ b/crates/gateway/src/beside.rs
@@ -178,7 +178,7 @@
         }
         match send_once(host, call, &admission, progress, selected).await {
             SendOutcome::Head(selected, head) if head.status().is_success() => {
-                return Some((selected, *head));
+                return Some((*selected, *head));
             }
             SendOutcome::NotSent => {}
             SendOutcome::Head(..) | SendOutcome::NotRun(_) | SendOutcome::Broken(_) => return None,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -6,8 +6,8 @@
 
 use dotterellane_decisions::weight_plan::{OrderOutcome, PlannedOrder, RunnerReport};
 use dotterellane_units::{
-    AdapterId, DomainId, FenceNumber, HostId, ModelId, RequestRate, ServiceId, TeamId, TokenCount,
-    UpstreamId,
+    AdapterId, DomainId, FenceNumber, HostId, ModelId, RequestRate, ServiceId, SoftwareVersion,
+    TeamId, TokenCount, UpstreamId,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
@@ -41,6 +41,8 @@
     pub shared_parts: Vec<String>,
     /// Id of the last event that the caller received of a broken stream.
     pub last_event: Option<HeaderValue>,
+    /// Id of the request that brought the first event of that stream.
+    pub resumes: Option<HeaderValue>,
 }
 
 /// What the gateway adds to the caller's headers when it forwards a request.
@@ -109,6 +111,8 @@
     pub domain: DomainId,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
+    /// Version of its software; `None` if its row does not state one.
+    pub version: Option<SoftwareVersion>,
     /// The models that it holds, and whether it is draining.
     pub report: RunnerReport,
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -319,8 +319,13 @@
         let entry = &known.entry;
         let (report, address) = (&entry.report, entry.address);
         Some(format!(
-            "{name} {} {} {address} {} {} {}\n",
-            entry.service, entry.domain, entry.slots, report.started_at, report.draining,
+            "{name} {} {} {address} {} {} {} {:?}\n",
+            entry.service,
+            entry.domain,
+            entry.slots,
+            report.started_at,
+            report.draining,
+            entry.version,
         ))
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use dotterellane_decisions::quarantine::RequestIdentity;
+use dotterellane_decisions::stream_versions::StreamDigest;
 use dotterellane_units::{ClockInstant, ServiceId, UpstreamId};
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -29,8 +30,9 @@
 use crate::permits::{SendTarget, is_permitted, open};
 use crate::refusal::GatewayRefusal;
 use crate::relay::start_relay;
-use crate::selection::{SelectedUpstream, request_id_hash, select_upstream};
+use crate::selection::{SelectedUpstream, id_hash, select_upstream};
 use crate::state::{Host, RetryReservation};
+use crate::stream_versions::{AllowedVersions, StreamStart, origins, start_stream};
 
 /// Time before the deadline at which no further attempt is started.
 const MIN_REMAINING: Duration = Duration::from_millis(60);
@@ -69,6 +71,10 @@
     pub silent: Option<SilentAttempt>,
     /// Id of the last event that the caller has received, for resuming a stream.
     pub last_event: Option<HeaderValue>,
+    /// Software versions that may run the request.
+    pub allowed: AllowedVersions,
+    /// Digest by which its stream is remembered; `None` if it is not.
+    pub stream: Option<StreamDigest>,
     /// What of the request may crash upstreams.
     pub identity: Arc<RequestIdentity>,
     /// Reservation for the next attempt, if it is a retry.
@@ -101,7 +107,7 @@
 #[derive(Debug)]
 pub enum SendOutcome {
     /// The upstream ran the request and sent a response head.
-    Head(SelectedUpstream, Box<Response<PeekedBody>>),
+    Head(Box<SelectedUpstream>, Box<Response<PeekedBody>>),
     /// No byte of the request was sent; it may be sent to another upstream.
     NotSent,
     /// The upstream did not run the request; it may be sent to another one after this delay.
@@ -119,7 +125,8 @@
     call: &Arc<GatewayCall>,
     mut admission: Admission,
 ) -> Result<Response<GatewayBody>, GatewayRefusal> {
-    let mut progress = start_progress(host, call, &admission);
+    let start = start_stream(host, call, &admission).await?;
+    let mut progress = start_progress(host, call, &admission, start);
     let mut fallback = None;
     loop {
         let selected = match select_upstream(host, call, &mut admission, &progress).await {
@@ -128,6 +135,7 @@
         };
         match send(host, call, &admission, &mut progress, selected).await {
             SendOutcome::Head(selected, head) => {
+                let selected = *selected;
                 let trace = DispatchTrace {
                     upstream: selected.name.clone(),
                     candidates: selected.candidates,
@@ -174,11 +182,16 @@
     }
 }
 
-fn start_progress(host: &Host, call: &GatewayCall, admission: &Admission) -> RequestProgress {
+fn start_progress(
+    host: &Host,
+    call: &GatewayCall,
+    admission: &Admission,
+    start: StreamStart,
+) -> RequestProgress {
     let now = host.now();
     let longest = admission.route.timeout;
     let timeout = call.head.timeout.map_or(longest, |timeout| timeout.min(longest));
-    let service = pick_service(call, admission);
+    let service = start.service.unwrap_or_else(|| pick_service(call, admission));
     let identity = identity_of(admission.team.as_ref().map(|(team, _)| team), &service, call);
     let mut state = host.state();
     let limits = host.retry_limits(&state);
@@ -195,17 +208,21 @@
         runs: 0,
         silent: None,
         last_event: call.head.last_event.clone(),
+        allowed: start.allowed,
+        stream: start.digest,
         identity: Arc::new(identity),
         retry: None,
     }
 }
 
-/// Picks a service of the route by the weights and the request id, so that repetitions of a request
-/// go to the same service.
-fn pick_service(call: &GatewayCall, admission: &Admission) -> ServiceId {
+/// Picks a service of the route by the weights and the request id, of a resumed stream the one that
+/// began it, so that repetitions of a request go to the same service.
+pub fn pick_service(call: &GatewayCall, admission: &Admission) -> ServiceId {
     let targets = &admission.route.targets;
     let total: u64 = targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
-    let mut left = request_id_hash(call).checked_rem(total).unwrap_or(0);
+    let first = call.head.resumes.as_ref().filter(|_| call.head.last_event.is_some());
+    let id = first.map_or(call.head.request_id.as_bytes(), HeaderValue::as_bytes);
+    let mut left = id_hash(id).checked_rem(total).unwrap_or(0);
     for (service, weight) in targets {
         let weight = u64::from(*weight);
         if left < weight {
@@ -306,7 +323,7 @@
             }
         };
         return match end.other {
-            Some((other, head)) => SendOutcome::Head(other, Box::new(head)),
+            Some((other, head)) => SendOutcome::Head(Box::new(other), Box::new(head)),
             None => own,
         };
     }
@@ -510,7 +527,14 @@
         notices::record(host, source, response.status(), response.headers());
     }
     match kind {
-        ResponseKind::Run => SendOutcome::Head(selected, Box::new(response.map(PeekedBody::new))),
+        ResponseKind::Run if !is_at_version(host, progress, &selected) => {
+            log_attempt(host, call, progress, &selected.name, "upstream was restarted meanwhile");
+            SendOutcome::Broken("upstream_restarted")
+        }
+        ResponseKind::Run => {
+            let response = response.map(PeekedBody::new);
+            SendOutcome::Head(Box::new(selected), Box::new(response))
+        }
         ResponseKind::NotRun => {
             log_attempt(host, call, progress, &selected.name, "upstream did not run the request");
             SendOutcome::NotRun(BUSY_RETRY_DELAY)
@@ -542,6 +566,12 @@
     }
 }
 
+/// Returns whether the row of an upstream still states the start and the version for which it was
+/// selected, if the version matters.
+fn is_at_version(host: &Host, progress: &RequestProgress, selected: &SelectedUpstream) -> bool {
+    progress.allowed == AllowedVersions::All || origins::is_unchanged(&host.state(), selected)
+}
+
 fn log_attempt(
     host: &Host,
     call: &GatewayCall,
--- a/crates/gateway/src/leader/lease.rs
+++ b/crates/gateway/src/leader/lease.rs
@@ -248,6 +248,7 @@
     // Plans must start from rows read from now on, as those known here may be outdated.
     host.configuration_wanted.notify_one();
     host.directory_wanted.notify_one();
+    host.versions_wanted.notify_one();
     send_heartbeat(host, false);
     host.demand_changed.notify_one();
 }
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -85,6 +85,11 @@
     host.leadership.lock().is_leader
 }
 
+/// Returns when this host last acquired the lease.
+pub fn acquired_at(host: &Host) -> ClockInstant {
+    host.leadership.lock().acquired_at
+}
+
 /// Returns whether this host, as the leader, waits for a load to complete.
 pub fn has_pending_load(host: &Host) -> bool {
     let leadership = host.leadership.lock();
@@ -188,4 +193,5 @@
     }
     drop(leadership);
     host.plan_wanted.notify_one();
+    host.versions_wanted.notify_one();
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,5 +37,6 @@
 pub mod spending;
 pub mod stalls;
 pub mod state;
+pub mod stream_versions;
 
 pub use run::{RunError, run};
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -6,6 +6,9 @@
 use dotterellane_decisions::leaving_marks::LeavingMark;
 use dotterellane_decisions::quarantine::{CrashReport, RememberedCrash};
 use dotterellane_decisions::send_permits::PermitRequest;
+use dotterellane_decisions::stream_versions::{
+    OriginReport, StreamDigest, StreamOrigin, VersionHistory,
+};
 use dotterellane_decisions::team_buckets::SpendingReport;
 use dotterellane_decisions::weight_plan::{HeldModel, HostDemand};
 use dotterellane_units::{
@@ -52,6 +55,28 @@
     PermitQuestion(PermitQuestion),
     /// Sent by the issuer of permits: the answer to the question with this id.
     PermitAnswer(u64, PermitAnswer),
+    /// Sent by the leader: which software versions serve.
+    Versions(VersionsReport),
+    /// Sent to some hosts: where streams began that the sender began.
+    StreamOrigins(Vec<OriginReport>),
+    /// Asks, with a random id, where a stream began.
+    OriginQuestion(u64, StreamDigest),
+    /// Where the stream of the question with this id began; `None` if the sender does not know.
+    OriginAnswer(u64, Option<StreamOrigin>),
+}
+
+/// The software versions that serve, as the leader announces them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct VersionsReport {
+    /// Fencing number of the leader's lease.
+    pub fence: FenceNumber,
+    /// Version of the history's row.
+    pub row: RowVersion,
+    /// When that row was the newest, by the store's clock.
+    pub at: StoreInstant,
+    /// Content of the row.
+    pub history: VersionHistory,
 }
 
 /// What an upstream announced about its rate limit, as hosts report it to each other.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,7 @@
 use crate::permits;
 use crate::spending;
 use crate::state::{Host, KnownLeader, KnownPeer};
+use crate::stream_versions::{history, origins};
 
 /// One in this many heartbeats is a full one, which introduces peers to each other.
 const HEARTBEATS_PER_FULL: u32 = 8;
@@ -230,6 +231,10 @@
         PeerMessage::GrantAnswer(id, answer) => spending::on_grant_answer(host, id, answer),
         PeerMessage::PermitQuestion(question) => permits::on_question(host, &from, question),
         PeerMessage::PermitAnswer(id, answer) => permits::on_answer(host, id, answer),
+        PeerMessage::Versions(report) => history::on_report(host, &report),
+        PeerMessage::StreamOrigins(reports) => origins::on_reports(host, &reports),
+        PeerMessage::OriginQuestion(id, stream) => origins::on_question(host, &from, id, &stream),
+        PeerMessage::OriginAnswer(id, origin) => host.origin_questions.resolve(id, origin),
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::resumption::StreamKind;
 use crate::selection::{SelectedUpstream, select_upstream};
 use crate::state::Host;
+use crate::stream_versions::{AllowedVersions, origins};
 
 /// Number of chunks queued for a caller that reads slowly.
 const QUEUED_CHUNKS: usize = 8;
@@ -108,6 +109,8 @@
     admission: Admission,
     progress: RequestProgress,
     kind: StreamKind,
+    /// Whether an event was passed on.
+    has_begun: bool,
     chunks: mpsc::Sender<ResponseChunk>,
 }
 
@@ -127,8 +130,15 @@
     let kind = StreamKind::of(&head);
     let resumable = admission.route.kind == CallKind::ResumableStream;
     let segment = Segment::new(selected, head, EventFramer::default(), resumable, &progress);
-    let relay =
-        StreamRelay { host: host.clone(), call: call.clone(), admission, progress, kind, chunks };
+    let relay = StreamRelay {
+        host: host.clone(),
+        call: call.clone(),
+        admission,
+        progress,
+        kind,
+        has_begun: false,
+        chunks,
+    };
     host.tasks.spawn(relay.run(segment));
     response
 }
@@ -387,6 +397,7 @@
                 StreamPiece::Broken(cause) => return SegmentEnd::Broken(cause),
             };
             self.note_silence(segment, "waited_out");
+            self.note_begun(&segment.selected);
             // Without this timeout, a caller that does not read would occupy its runner past the
             // deadline.
             match timeout(end.since(self.host.now()), self.chunks.send(Ok(data))).await {
@@ -397,6 +408,21 @@
         }
     }
 
+    /// Notes before an event is passed on that the stream has begun: from now on, only the software
+    /// version of this runner may go on with it.
+    fn note_begun(&mut self, selected: &SelectedUpstream) {
+        if self.has_begun || self.admission.route.kind != CallKind::ResumableStream {
+            return;
+        }
+        self.has_begun = true;
+        if self.progress.allowed == AllowedVersions::Settled {
+            self.progress.allowed = AllowedVersions::Begun(selected.version.clone());
+        }
+        if let Some(stream) = self.progress.stream {
+            origins::note_begun(&self.host, stream, selected);
+        }
+    }
+
     /// Seeks another runner while the one of `segment` is silent, for `left` at most.
     async fn search_beside(&mut self, segment: &mut Segment, left: Duration) -> SearchEnd {
         let caller = self.chunks.clone();
@@ -499,7 +525,7 @@
             };
             match send(&host, &call, &self.admission, &mut self.progress, selected).await {
                 SendOutcome::Head(selected, head) if self.kind.is_continued_by(&head) => {
-                    return Some((selected, *head));
+                    return Some((*selected, *head));
                 }
                 SendOutcome::NotRun(pause) => sleep(pause).await,
                 SendOutcome::Head(..) | SendOutcome::NotSent | SendOutcome::Broken(_) => {}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,6 +14,7 @@
 use crate::call::WireFormat;
 use crate::settings::HostSettings;
 use crate::state::{Host, HostPlatform};
+use crate::stream_versions::{archive, history};
 use crate::{followers, leader, peers, server, stalls};
 
 /// Time for which the load balancer may still send callers after the readiness check began to fail.
@@ -114,6 +115,8 @@
     tokio::spawn(peers::register_host(host.clone()));
     tokio::spawn(leader::run_election(host.clone()));
     tokio::spawn(leader::run_plans(host.clone()));
+    tokio::spawn(history::keep_history(host.clone()));
+    tokio::spawn(archive::write_archive(host.clone()));
     stalls::start(&host).map_err(start_error("watch for stalls"))?;
     tokio::spawn(server::serve_status(status, host.clone()));
     tokio::spawn(server::serve_status(metrics, host.clone()));
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -7,7 +7,7 @@
 use dotterellane_decisions::quarantine::{CrashSummary, UpstreamStart};
 use dotterellane_decisions::send_permits::SendPermit;
 use dotterellane_decisions::upstream_choice::{UpstreamCandidate, choose_upstream};
-use dotterellane_units::{ClockInstant, UpstreamId};
+use dotterellane_units::{ClockInstant, ServiceId, SoftwareVersion, UpstreamId};
 use http::StatusCode;
 use tokio::time::timeout;
 
@@ -38,8 +38,12 @@
     pub name: UpstreamId,
     /// Address to connect to.
     pub address: SocketAddr,
+    /// Service that it belongs to.
+    pub service: ServiceId,
     /// Start time of the upstream, in milliseconds, as its row states it.
     pub started_at: u64,
+    /// Version of its software, as its row states it.
+    pub version: Option<SoftwareVersion>,
     /// The permit to send there, if the upstream has a rate limit.
     pub permit: Option<Box<SendPermit>>,
     /// Whether another upstream could run the request that neither failed recently nor was tried.
@@ -208,6 +212,7 @@
             !progress.silent.as_ref().is_some_and(excludes)
         })
         .filter(|(_, known)| choice.is_none_or(|choice| known.holds(choice, now)))
+        .filter(|(_, known)| progress.allowed.includes(&state, now, &progress.service, known))
         .map(|(name, known)| UpstreamCandidate {
             name: name.clone(),
             same_domain: known.entry.domain == host.settings.domain,
@@ -217,7 +222,9 @@
         })
         .partition(|candidate| state.directory.rate_limit(&candidate.name).is_some());
     let permitted = limited.iter().find(|candidate| search.due(now, &candidate.name).is_some());
-    let Some(chosen) = permitted.or_else(|| choose_upstream(&open, request_id_hash(call))) else {
+    let Some(chosen) =
+        permitted.or_else(|| choose_upstream(&open, id_hash(call.head.request_id.as_bytes())))
+    else {
         return Ok(Selection::Limited(search.next_step(&state, now, &limited)));
     };
     if let Some(request) = search.offer(&mut state, now, &limited) {
@@ -231,6 +238,7 @@
         return Ok(Selection::Limited(PermitStep::Nothing));
     };
     let (address, started_at) = (entry.address, entry.report.started_at);
+    let version = entry.version.clone();
     let start = UpstreamStart { upstream: name.clone(), started_at: Some(started_at) };
     if !state.crashes.try_start(now, &progress.identity, &start) {
         return Ok(Selection::Limited(PermitStep::Nothing));
@@ -241,7 +249,9 @@
     Ok(Selection::Selected(Box::new(SelectedUpstream {
         name,
         address,
+        service: progress.service.clone(),
         started_at,
+        version,
         permit,
         replaceable,
         candidates,
@@ -260,9 +270,9 @@
     });
 }
 
-/// Returns a hash of the request id, so that repetitions of a request go the same way.
-pub fn request_id_hash(call: &GatewayCall) -> u64 {
-    let digest = blake3::hash(call.head.request_id.as_bytes());
+/// Returns a hash of a request's id, so that repetitions of a request go the same way.
+pub fn id_hash(id: &[u8]) -> u64 {
+    let digest = blake3::hash(id);
     let mut hash = [0; 8];
     hash.copy_from_slice(&digest.as_bytes()[..8]);
     u64::from_le_bytes(hash)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use dotterellane_decisions::quarantine::CrashTracker;
 use dotterellane_decisions::retry_limiter::{RetryLimiter, RetryLimits};
 use dotterellane_decisions::store_clock::StoreClock;
+use dotterellane_decisions::stream_versions::{StreamOrigin, StreamOrigins};
 use dotterellane_decisions::team_buckets::TeamBuckets;
 use dotterellane_decisions::weight_plan::{HostDemand, RunningModel, WaitingModel};
 use dotterellane_platform::{PlatformTable, RowFeed};
@@ -27,8 +28,11 @@
 use crate::messages::{ConfigurationMark, LeaseMark, StoreObservation};
 use crate::metrics::GatewayMetrics;
 use crate::permits::SendPermits;
+use crate::questions::PendingQuestions;
 use crate::settings::{HostSettings, HostTuning};
 use crate::spending::TokenGrants;
+use crate::stream_versions::archive::ArchiveReading;
+use crate::stream_versions::history::KnownVersions;
 
 /// The platform's services that the daemon uses.
 #[derive(Clone, Debug)]
@@ -130,6 +134,10 @@
     pub leader_resigned_at: Option<ClockInstant>,
     /// Requests suspected of crashing upstreams, and those in flight.
     pub crashes: CrashTracker,
+    /// Which software versions serve.
+    pub versions: KnownVersions,
+    /// Where streams began.
+    pub origins: StreamOrigins,
     /// When a request was last offered to an upstream with a rate limit although others could run
     /// it.
     pub limited_offers: BTreeMap<UpstreamId, ClockInstant>,
@@ -167,6 +175,12 @@
     pub plan_wanted: Notify,
     /// Wakes the task that registers this host, as the store came back from an older copy.
     pub store_restored: Notify,
+    /// Wakes the task that keeps the history of software versions.
+    pub versions_wanted: Notify,
+    /// Wakes requests that wait for a fresh history of software versions.
+    pub versions_known: Notify,
+    /// Wakes the task that writes where streams began to the store.
+    pub archive_wanted: Notify,
     /// Cancelled on SIGTERM.
     pub leaving: CancellationToken,
     /// Cancelled when idle connections are to be closed; further requests are refused.
@@ -183,6 +197,10 @@
     pub grants: TokenGrants,
     /// Permits to send to upstreams with a rate limit.
     pub permits: SendPermits,
+    /// Questions to other hosts where streams began.
+    pub origin_questions: PendingQuestions<Option<StreamOrigin>>,
+    /// When the store was last read for where streams began.
+    pub archive_reading: ArchiveReading,
     /// Memory shared by buffered responses.
     pub response_memory: ResponseMemory,
     state: Mutex<HostState>,
@@ -223,6 +241,8 @@
             leader: None,
             leader_resigned_at: None,
             crashes: CrashTracker::default(),
+            versions: KnownVersions::default(),
+            origins: StreamOrigins::default(),
             limited_offers: BTreeMap::new(),
             unknown_notices: BTreeSet::new(),
         };
@@ -233,6 +253,8 @@
             leadership,
             grants: TokenGrants::default(),
             permits: SendPermits::default(),
+            origin_questions: PendingQuestions::default(),
+            archive_reading: ArchiveReading::default(),
             response_memory: ResponseMemory::default(),
             settings,
             incarnation,
@@ -247,6 +269,9 @@
             directory_wanted: Notify::new(),
             plan_wanted: Notify::new(),
             store_restored: Notify::new(),
+            versions_wanted: Notify::new(),
+            versions_known: Notify::new(),
+            archive_wanted: Notify::new(),
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
             closed: CancellationToken::new(),
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -35,6 +35,7 @@
         address: "10.0.0.1:80".parse().expect("an address"),
         domain: "z1".parse().expect("valid id"),
         slots: 4,
+        version: None,
         report: RunnerReport {
             started_at,
             revision,
--- a/crates/units/src/identifier.rs
+++ b/crates/units/src/identifier.rs
@@ -23,8 +23,22 @@
     }
 }
 
+/// Longest software version, in bytes.
+pub const MAX_SOFTWARE_VERSION_BYTES: usize = 200;
+
+fn check_software_version(kind: &'static str, text: &str) -> Result<(), UnitError> {
+    if text.is_empty() || text.len() > MAX_SOFTWARE_VERSION_BYTES {
+        return Err(UnitError::TextLength {
+            kind,
+            length: text.len(),
+            longest: MAX_SOFTWARE_VERSION_BYTES,
+        });
+    }
+    Ok(())
+}
+
 macro_rules! text_ids {
-    ($($(#[$doc:meta])* $name:ident = $kind:literal;)*) => {$(
+    ($check:ident: $($(#[$doc:meta])* $name:ident = $kind:literal;)*) => {$(
         $(#[$doc])*
         #[derive(Clone, Eq, Hash, Ord, PartialEq, PartialOrd)]
         #[derive(JsonSchema)]
@@ -41,7 +55,7 @@
             type Err = UnitError;
 
             fn from_str(text: &str) -> Result<Self, UnitError> {
-                check_id($kind, text)?;
+                $check($kind, text)?;
                 Ok(Self(text.into()))
             }
         }
@@ -80,6 +94,13 @@
 }
 
 text_ids! {
+    check_software_version:
+    /// Version of an upstream's software; opaque text that is only compared as a whole.
+    SoftwareVersion = "software version";
+}
+
+text_ids! {
+    check_id:
     /// Identifies an adapter of a model.
     AdapterId = "adapter id";
     /// Identifies a failure domain: hosts that may fail together.
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -12,7 +12,7 @@
 pub use clock::boot_clock;
 pub use identifier::{
     AdapterId, DomainId, HostId, KeyId, ModelId, OperatorId, RegionId, RequestId, ServiceId,
-    TeamId, UpstreamId, VersionLabel,
+    SoftwareVersion, TeamId, UpstreamId, VersionLabel,
 };
 pub use instant::{ClockInstant, ClockSource, StoreInstant};
 pub use number::{ConfigVersion, FenceNumber, HostIncarnation, SlotNumber, StoreEra};
--- a/crates/units/src/parse.rs
+++ b/crates/units/src/parse.rs
@@ -14,6 +14,16 @@
         /// Length of the text in bytes.
         length: usize,
     },
+    /// A text is empty or too long.
+    #[error("{kind} must have 1 to {longest} bytes, but has {length}")]
+    TextLength {
+        /// Kind of text that was expected, such as `software version`.
+        kind: &'static str,
+        /// Length of the text in bytes.
+        length: usize,
+        /// Longest text that is allowed, in bytes.
+        longest: usize,
+    },
     /// An id contains a character outside `a-z`, `A-Z`, `0-9`, `-`, `_`, `.` and `:`.
     #[error("{kind} {text:?} contains {found:?}; use letters, digits, '-', '_', '.' or ':'")]
     IdCharacter {
