Give the stand-in runner a version of its software that its row and its events name

SiteEngine wrote revision v1 always and nothing of it into its events, so no test could see which version wrote an event. It now takes a version (or a row's field of another kind), a length and pace of its streams, a restart as another version that breaks its connections and clears what it holds, and an end for good. Without a version set, rows and events are as before.

--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -25,9 +26,20 @@
     pub address: SocketAddr,
     /// Ends the server and all its connections when cancelled.
     pub stop: CancellationToken,
+    /// Ends the connections that are open now when cancelled.
+    connections: Arc<Mutex<CancellationToken>>,
     _guard: DropGuard,
 }
 
+impl StandinServer {
+    /// Breaks all open connections, as a restart of the server does, and accepts new ones.
+    pub fn break_connections(&self) {
+        let next = self.stop.child_token();
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut *connections, next).cancel();
+    }
+}
+
 /// Serves requests with `handler` on a loopback port chosen by the system.
 ///
 /// # Errors
@@ -40,12 +52,17 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
     let address = listener.local_addr()?;
     let stop = CancellationToken::new();
-    tokio::spawn(stop.clone().run_until_cancelled_owned(accept(listener, handler, stop.clone())));
-    Ok(StandinServer { address, stop: stop.clone(), _guard: stop.drop_guard() })
+    let connections = Arc::new(Mutex::new(stop.child_token()));
+    let accepting = accept(listener, handler, connections.clone());
+    tokio::spawn(stop.clone().run_until_cancelled_owned(accepting));
+    Ok(StandinServer { address, stop: stop.clone(), connections, _guard: stop.drop_guard() })
 }
 
-async fn accept<H, HF>(listener: TcpListener, handler: H, stop: CancellationToken)
-where
+async fn accept<H, HF>(
+    listener: TcpListener,
+    handler: H,
+    connections: Arc<Mutex<CancellationToken>>,
+) where
     H: Fn(Request<Incoming>) -> HF + Clone + Send + Sync + 'static,
     HF: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
@@ -57,7 +74,7 @@
             let response = handler(request);
             async move { Ok::<_, Infallible>(response.await) }
         });
-        let stop = stop.clone();
+        let stop = connections.lock().unwrap_or_else(PoisonError::into_inner).clone();
         tokio::spawn(stop.run_until_cancelled_owned(async move {
             let builder = auto::Builder::new(TokioExecutor::new());
             let _ = builder.serve_connection(TokioIo::new(stream), service).await;
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -21,6 +21,9 @@
 /// Delay before each event of a stream.
 const EVENT_DELAY: Duration = Duration::from_millis(5);
 
+/// Version of the software of a runner for which none was set.
+const DEFAULT_VERSION: &str = "v1";
+
 /// Delay before each byte of a trickling stream.
 const TRICKLE_DELAY: Duration = Duration::from_millis(200);
 
@@ -107,6 +110,33 @@
     }
 }
 
+/// Version of a runner's software.
+#[derive(Clone, Debug)]
+struct SoftwareVersion {
+    /// Value of `revision` in the runner's row; `None` for a row without it.
+    field: Option<Value>,
+    /// What each event names as the version that wrote it; empty if events don't name it.
+    label: String,
+}
+
+impl Default for SoftwareVersion {
+    fn default() -> Self {
+        Self { field: Some(Value::from(DEFAULT_VERSION)), label: String::new() }
+    }
+}
+
+/// How a runner writes its streams.
+#[derive(Clone, Debug)]
+struct StreamStyle {
+    /// Number of events in each stream.
+    events: u64,
+    /// Delay before each event.
+    delay: Duration,
+    with_ids: bool,
+    /// Version that each event names; empty for none.
+    label: String,
+}
+
 #[derive(Debug, Default)]
 struct EngineState {
     /// Number of starts, reported as `born`.
@@ -144,6 +174,9 @@
     seen: Vec<SeenRequest>,
     /// Number of events in each stream.
     events: u64,
+    /// Delay before each event.
+    event_delay: Duration,
+    version: SoftwareVersion,
     /// Whether a load is under way; orders are rejected until it ends.
     busy: bool,
     /// Number of slow runs whose caller disconnected before the end.
@@ -187,6 +220,7 @@
             models: models.iter().map(|name| ((*name).to_owned(), BTreeSet::new())).collect(),
             disk: disk.iter().map(|name| (*name).to_owned()).collect(),
             events: 6,
+            event_delay: EVENT_DELAY,
             incarnation: 1,
             ..EngineState::default()
         };
@@ -207,14 +241,60 @@
     pub fn row(&self, service: &str, sequence: u64, draining: bool) -> Vec<u8> {
         let state = lock(&self.state);
         let stage = if draining { "draining" } else { "ready" };
-        json!({
+        let mut row = json!({
             "backend": service, "addr": self.server.address.to_string(), "zone": "z1",
-            "revision": "v1", "slots": 8, "state": stage, "cold_left_ms": 0, "sequence": sequence,
+            "slots": 8, "state": stage, "cold_left_ms": 0, "sequence": sequence,
             "born": state.incarnation, "stage": "both", "models": state.model_list(),
             "available": {"mem_held": [], "disk_held": state.disk},
-        })
-        .to_string()
-        .into_bytes()
+        });
+        if let Some(field) = &state.version.field {
+            row["revision"] = field.clone();
+        }
+        row.to_string().into_bytes()
+    }
+
+    /// Sets the version of the runner's software, which its row and each of its events name from
+    /// now on.
+    pub fn set_version(&self, version: &str) {
+        self.set_version_field(Some(Value::from(version)), version);
+    }
+
+    /// Sets the `revision` of the runner's row, which need not be a text, and what each of its
+    /// events names as the version that wrote it.
+    pub fn set_version_field(&self, field: Option<Value>, label: &str) {
+        lock(&self.state).version = SoftwareVersion { field, label: label.to_owned() };
+    }
+
+    /// Sets the number of events of each stream and the delay before each of them.
+    pub fn set_stream(&self, events: u64, delay: Duration) {
+        let mut state = lock(&self.state);
+        state.events = events;
+        state.event_delay = delay;
+    }
+
+    /// Restarts the runner with another version of its software: its connections break, and only
+    /// the models on its disk stay.
+    pub fn restart_as(&self, version: &str) {
+        self.server.break_connections();
+        self.restart();
+        self.set_version(version);
+    }
+
+    /// Restarts the runner like [`Self::restart_as`], with `models` loaded.
+    pub fn restart_holding(&self, version: &str, models: &[&str]) {
+        self.restart_as(version);
+        let models = models.iter().map(|name| ((*name).to_owned(), BTreeSet::new()));
+        lock(&self.state).models.extend(models);
+    }
+
+    /// Breaks all connections to the runner, and so the streams that it is writing.
+    pub fn break_connections(&self) {
+        self.server.break_connections();
+    }
+
+    /// Stops the runner for good: it stops listening, and its connections break.
+    pub fn stop(&self) {
+        self.server.stop.cancel();
     }
 
     /// Delays each report by `delay`.
@@ -323,6 +403,15 @@
 }
 
 impl EngineState {
+    fn stream_style(&self) -> StreamStyle {
+        StreamStyle {
+            events: self.events,
+            delay: self.event_delay,
+            with_ids: !self.omits_ids,
+            label: self.version.label.clone(),
+        }
+    }
+
     fn model_list(&self) -> Vec<Value> {
         let models = self.models.iter();
         models
@@ -427,7 +516,7 @@
     }
     let id = text("x-request-id");
     let item = text("x-model");
-    let (fault, events, ran, with_ids) = {
+    let (fault, style, ran) = {
         let mut state = lock(&state);
         let events = state.events;
         let drawn = state.random_faults.as_mut().and_then(|faults| faults.draw(events));
@@ -448,7 +537,7 @@
         if not_held {
             return refusal(StatusCode::MISDIRECTED_REQUEST, &id);
         }
-        (fault, state.events, ran, !state.omits_ids)
+        (fault, state.stream_style(), ran)
     };
     let crash_target =
         lock(&state).crash_target.clone().filter(|(target, _)| *target == parts.uri.to_string());
@@ -493,9 +582,9 @@
                 _ => None,
             };
             if fault == Some(EngineFault::Trickles) {
-                trickling_response(after)
+                trickling_response(after, &style)
             } else {
-                stream_response(after, events, break_at, with_ids)
+                stream_response(after, break_at, style)
             }
         }
     };
@@ -579,30 +668,30 @@
     }
 }
 
-fn event(number: u64, with_ids: bool) -> Bytes {
-    let id = if with_ids { format!("id: {number}\n") } else { String::new() };
-    Bytes::from(format!("{id}data: piece {number}\n\n"))
+fn event(number: u64, style: &StreamStyle) -> Bytes {
+    let id = if style.with_ids { format!("id: {number}\n") } else { String::new() };
+    let label = if style.label.is_empty() { String::new() } else { format!(" {}", style.label) };
+    Bytes::from(format!("{id}data: piece {number}{label}\n\n"))
 }
 
 fn stream_response(
     after: u64,
-    events: u64,
     break_at: Option<u64>,
-    with_ids: bool,
+    style: StreamStyle,
 ) -> Response<ResponseBody> {
     // A stream that resumes after that event breaks at its first event.
     let break_at = break_at.map(|at| at.max(after + 1));
-    let last = break_at.map_or(events, |at| at.min(events));
+    let last = break_at.map_or(style.events, |at| at.min(style.events));
     let complete = (after + 1..=last).filter(|number| break_at != Some(*number));
     let mut frames: Vec<std::io::Result<Bytes>> =
-        complete.map(|number| Ok(event(number, with_ids))).collect();
+        complete.map(|number| Ok(event(number, &style))).collect();
     if let Some(at) = break_at {
-        frames.push(Ok(event(at, with_ids).slice(..8)));
+        frames.push(Ok(event(at, &style).slice(..8)));
         frames.push(Err(std::io::Error::other("broken off")));
     }
     // The delay lets the partial event reach the caller before the break.
-    let frames = stream::iter(frames).then(|frame| async {
-        sleep(EVENT_DELAY).await;
+    let frames = stream::iter(frames).then(move |frame| async move {
+        sleep(style.delay).await;
         frame.map(Frame::data)
     });
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
@@ -611,8 +700,8 @@
 }
 
 /// Returns an endless stream with one event, followed by single bytes.
-fn trickling_response(after: u64) -> Response<ResponseBody> {
-    let first = stream::iter([event(after + 1, true)]);
+fn trickling_response(after: u64, style: &StreamStyle) -> Response<ResponseBody> {
+    let first = stream::iter([event(after + 1, &StreamStyle { with_ids: true, ..style.clone() })]);
     let bytes = stream::repeat(Bytes::from_static(b":")).then(|byte| async {
         sleep(TRICKLE_DELAY).await;
         byte
