--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -280,9 +280,8 @@
         self.set_version(version);
     }
 
-    /// Restarts the runner like [`Self::restart_as`], with `models` loaded.
-    pub fn restart_holding(&self, version: &str, models: &[&str]) {
-        self.restart_as(version);
+    /// Adds `models` to those that are loaded, without an order.
+    pub fn hold(&self, models: &[&str]) {
         let models = models.iter().map(|name| ((*name).to_owned(), BTreeSet::new()));
         lock(&self.state).models.extend(models);
     }
