Compare times of the version history within one era of the store only

By reading: a row whose era this host does not know yet was taken for one of the era before; a write that a host slept through counted as in time.

Cause: times and "nothing was there" hold within an era, and were compared without it. Now the clock is read with its era; zero is written only if the era is the first that the host has seen; what was not confirmed for 2 s is carried over as incomplete; a row of another era than the host's is read again.

--- a/crates/gateway/src/stream_versions/archive.rs
+++ b/crates/gateway/src/stream_versions/archive.rs
@@ -83,9 +83,9 @@
 
 fn take_unwritten(host: &Host) -> Option<Vec<OriginReport>> {
     let mut state = host.state();
-    let store_now = state.store_now(host.now());
+    let clock = state.store_reading(host.now());
     let HostState { origins, versions, .. } = &mut *state;
-    let is_wanted = |service: &_| versions.may_be_several(service, store_now);
+    let is_wanted = |service: &_| versions.may_be_several(service, clock);
     let taken = origins.take_unwritten(STREAMS_PER_WRITE, |origin| is_wanted(&origin.service));
     (!taken.is_empty()).then_some(taken)
 }
--- a/crates/gateway/src/stream_versions/history.rs
+++ b/crates/gateway/src/stream_versions/history.rs
@@ -7,7 +7,9 @@
     HISTORY_FRESHNESS, HISTORY_WRITE_TIMEOUT, VersionHistory, VersionMap,
 };
 use dotterellane_platform::{CommitOutcome, RowCondition, RowWrite, TableRow, TableTransaction};
-use dotterellane_units::{ClockInstant, RowVersion, ServiceId, SoftwareVersion, StoreInstant};
+use dotterellane_units::{
+    ClockInstant, RowVersion, ServiceId, SoftwareVersion, StoreEra, StoreInstant,
+};
 use tokio::time::{sleep, timeout};
 
 use crate::leader;
@@ -32,6 +34,22 @@
 /// Interval at which a new leader looks whether the directory was read.
 const DIRECTORY_POLL_INTERVAL: Duration = Duration::from_millis(30);
 
+/// A reading of the store's clock, exact or slightly too early.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreReading {
+    /// Era of the store to which the clock belongs.
+    pub era: StoreEra,
+    /// The time; `None` if it is not known.
+    pub time: Option<StoreInstant>,
+}
+
+impl StoreReading {
+    /// Returns the time if it can be compared with those of `era`.
+    fn in_era(self, era: StoreEra) -> Option<StoreInstant> {
+        self.time.filter(|_| self.era == era)
+    }
+}
+
 /// When a history was the newest, by this host's clock and the store's.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct HistoryConfirmation {
@@ -56,12 +74,13 @@
         &self,
         service: &ServiceId,
         version: Option<&SoftwareVersion>,
-        store_now: Option<StoreInstant>,
+        clock: StoreReading,
     ) -> bool {
-        let known = self.history.as_ref().zip(store_now);
-        known.is_some_and(|(history, now)| {
-            history.is_usable(service, version, now, self.is_announced)
-        })
+        let Some(history) = &self.history else { return false };
+        match clock.in_era(history.era) {
+            Some(now) => history.is_usable(service, version, now, self.is_announced),
+            None => history.is_usable(service, version, StoreInstant(0), true),
+        }
     }
 
     /// Returns whether it is certain that no upstream of `service` runs `version` any more.
@@ -81,16 +100,19 @@
         &self,
         now: ClockInstant,
         service: &ServiceId,
-        store_now: Option<StoreInstant>,
+        clock: StoreReading,
     ) -> Option<&SoftwareVersion> {
         let history = self.history.as_ref().filter(|_| self.is_fresh(now))?;
-        history.sole_version(service, store_now?)
+        history.sole_version(service, clock.in_era(history.era)?)
     }
 
     /// Returns whether streams of `service` may be at several versions, or at one that is unknown.
-    pub fn may_be_several(&self, service: &ServiceId, store_now: Option<StoreInstant>) -> bool {
-        let known = self.history.as_ref().zip(store_now);
-        known.is_none_or(|(history, now)| history.sole_version(service, now).is_none())
+    pub fn may_be_several(&self, service: &ServiceId, clock: StoreReading) -> bool {
+        let known = self.history.as_ref().and_then(|history| {
+            let now = clock.in_era(history.era)?;
+            history.sole_version(service, now)
+        });
+        known.is_none()
     }
 
     /// Formats what is known, for logs.
@@ -203,7 +225,7 @@
             drop(state);
             after_change(host, changed);
         }
-        None if host.settings.first_start => create_history(host).await?,
+        None if is_first_start(host, &host.state()) => create_history(host).await?,
         Some((_, None)) | None => {}
     }
     Ok(())
@@ -227,6 +249,12 @@
     Ok(())
 }
 
+/// Returns whether nothing was served before: the fleet starts for the first time, and the store did
+/// not come back from an older copy since this host first read it.
+fn is_first_start(host: &Host, state: &HostState) -> bool {
+    host.settings.first_start && state.store_era == state.first_store_era
+}
+
 fn store_now(host: &Host) -> Option<StoreInstant> {
     host.state().store_now(host.now())
 }
@@ -272,6 +300,9 @@
     let at = host.now();
     let state = host.state();
     let era = state.store_era.unwrap_or_default();
+    if read.as_ref().is_some_and(|(row, _)| row.era != era) {
+        return Err("the store has just come back from an older copy".to_owned());
+    }
     let now = state.store_now(at).ok_or("the store's clock is not known")?;
     let expected = read.as_ref().map_or(RowVersion { era, number: 0 }, |(row, _)| *row);
     let known = &state.versions;
@@ -281,13 +312,18 @@
         (_, Some((history, confirmed))) => {
             let since = u64::try_from(at.since(confirmed.at).as_millis()).unwrap_or(u64::MAX);
             let before = StoreInstant(confirmed.store_time.0.saturating_add(since));
-            history.carried_over(era, before, now)
+            let mut history = history.carried_over(era, before, now);
+            if !known.is_fresh(at) {
+                // Versions that others have added since may be missing.
+                history.complete_since = now;
+            }
+            history
         }
         (Some((_, copy)), None) => {
             let services = copy.map(|copy| copy.services).unwrap_or_default();
             VersionHistory { era, complete_since: now, services }
         }
-        (None, None) if host.settings.first_start => VersionHistory::new(era, StoreInstant(0)),
+        (None, None) if is_first_start(host, &state) => VersionHistory::new(era, StoreInstant(0)),
         (None, None) => VersionHistory::new(era, now),
     };
     Ok((expected, history.settled_again(now)))
@@ -343,7 +379,9 @@
     let committed = timeout(HISTORY_WRITE_TIMEOUT, commit).await;
     let label = if matches!(committed, Ok(Ok(_))) { "ok" } else { "failed" };
     host.metrics.store_calls.with_label_values(&["write_versions", label]).inc();
-    let committed = committed.map_err(|_| "no answer in time".to_owned())?;
+    // A host that stood still meanwhile may see the answer before the timeout.
+    let committed = committed.ok().filter(|_| host.now().since(started) <= HISTORY_WRITE_TIMEOUT);
+    let committed = committed.ok_or("no answer in time")?;
     let row = match committed.map_err(|error| error.to_string())? {
         CommitOutcome::Committed(versions) => versions.first().copied().ok_or("no version")?,
         CommitOutcome::Conflict(_) => return Ok(None),
--- a/crates/gateway/src/stream_versions/mod.rs
+++ b/crates/gateway/src/stream_versions/mod.rs
@@ -10,9 +10,9 @@
 use std::sync::Arc;
 
 use dotterellane_decisions::stream_versions::{StreamDigest, StreamOrigin};
-use dotterellane_units::{ClockInstant, ServiceId, SoftwareVersion};
+use dotterellane_units::{ClockInstant, ServiceId, SoftwareVersion, StoreInstant};
 
-use self::history::KnownVersions;
+use self::history::{KnownVersions, StoreReading};
 use crate::directory::KnownUpstream;
 use crate::document::CallKind;
 use crate::handler::{Admission, GatewayCall};
@@ -42,7 +42,7 @@
         let version = upstream.entry.version.as_ref();
         match self {
             Self::All => true,
-            Self::Settled => state.versions.is_usable(service, version, state.store_now(now)),
+            Self::Settled => state.versions.is_usable(service, version, state.store_reading(now)),
             Self::Begun(begun) => version.is_some() && version == begun.as_ref(),
         }
     }
@@ -106,9 +106,14 @@
 
 impl HostState {
     /// Returns the time by the store's clock, exact or slightly too early; `None` if it is unknown.
-    pub fn store_now(&self, now: ClockInstant) -> Option<dotterellane_units::StoreInstant> {
+    pub fn store_now(&self, now: ClockInstant) -> Option<StoreInstant> {
         self.store_clock.to_store(now)
     }
+
+    /// Returns the time by the store's clock with the era to which it belongs.
+    pub fn store_reading(&self, now: ClockInstant) -> StoreReading {
+        StoreReading { era: self.store_era.unwrap_or_default(), time: self.store_now(now) }
+    }
 }
 
 /// Returns the version of `service` that began all streams that may still be resumed, if there is
@@ -119,6 +124,6 @@
     now: ClockInstant,
     service: &ServiceId,
 ) -> Option<StreamOrigin> {
-    let version = versions.sole_version(now, service, state.store_now(now))?;
+    let version = versions.sole_version(now, service, state.store_reading(now))?;
     Some(StreamOrigin { service: service.clone(), version: version.clone() })
 }
--- a/crates/gateway/src/stream_versions/origins.rs
+++ b/crates/gateway/src/stream_versions/origins.rs
@@ -52,10 +52,9 @@
     let mut reports: BTreeMap<HostId, BTreeMap<StreamOrigin, Vec<StreamDigest>>> = BTreeMap::new();
     {
         let mut state = host.state();
-        let store_now = state.store_now(now);
+        let clock = state.store_reading(now);
         let HostState { origins, versions, .. } = &mut *state;
-        let untold =
-            origins.take_untold(|origin| versions.may_be_several(&origin.service, store_now));
+        let untold = origins.take_untold(|origin| versions.may_be_several(&origin.service, clock));
         if untold.is_empty() {
             return;
         }
