Read the history of versions only when a request needs it

A host that heard no leader read the history each 0.7 s, and each 0.2 s while the store failed: at 90 hosts up to 450 priced calls a second in an outage that nobody gains from. Now it reads when it knows none, or when a take-up waits for a fresh one.

--- a/crates/gateway/src/stream_versions/history.rs
+++ b/crates/gateway/src/stream_versions/history.rs
@@ -25,11 +25,11 @@
 /// Interval at which the leader announces the history, changed or not.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Age of the last confirmation at which a host reads the history itself.
+/// Age of the last confirmation at which a host that needs the history reads it itself.
 const READ_AGE: Duration = Duration::from_millis(1_200);
 
 /// Delay after a failed call to the store.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
+const RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Interval at which a new leader looks whether the directory was read.
 const DIRECTORY_POLL_INTERVAL: Duration = Duration::from_millis(30);
@@ -66,6 +66,8 @@
     confirmed: Option<HistoryConfirmation>,
     /// Whether a leader announced this row, so that its versions have settled when it says so.
     is_announced: bool,
+    /// Whether a request waits until the history is fresh.
+    is_wanted: bool,
 }
 
 impl KnownVersions {
@@ -115,6 +117,18 @@
         known.is_none()
     }
 
+    /// Notes that a request waits until the history is fresh.
+    pub fn want(&mut self) {
+        self.is_wanted = true;
+    }
+
+    /// Returns whether the history has to be read; what is wanted counts as satisfied from now on.
+    fn take_need(&mut self, now: ClockInstant) -> bool {
+        let is_wanted = std::mem::take(&mut self.is_wanted);
+        let is_old = |confirmed: HistoryConfirmation| now.since(confirmed.at) >= READ_AGE;
+        self.history.is_none() || (is_wanted && self.confirmed.is_none_or(is_old))
+    }
+
     /// Formats what is known, for logs.
     pub fn describe(&self, now: ClockInstant) -> String {
         let Some(history) = &self.history else { return "unknown".to_owned() };
@@ -210,11 +224,11 @@
     state.store_now(at).map(|store_time| HistoryConfirmation { at, store_time })
 }
 
-/// Reads the history unless it was confirmed a short while ago.
+/// Reads the history if it is not known, or a request needs it and no leader has confirmed it for a
+/// while.
 async fn follow(host: &Arc<Host>) -> Result<(), String> {
     let now = host.now();
-    let confirmed = host.state().versions.confirmed;
-    if confirmed.is_some_and(|confirmed| now.since(confirmed.at) < READ_AGE) {
+    if !host.state().versions.take_need(now) {
         return Ok(());
     }
     match read_history(host).await? {
--- a/crates/gateway/src/stream_versions/origins.rs
+++ b/crates/gateway/src/stream_versions/origins.rs
@@ -165,8 +165,12 @@
             let known = host.versions_known.notified();
             tokio::pin!(known);
             known.as_mut().enable();
-            if host.state().versions.is_fresh(host.now()) {
-                break;
+            {
+                let mut state = host.state();
+                if state.versions.is_fresh(host.now()) {
+                    break;
+                }
+                state.versions.want();
             }
             host.versions_wanted.notify_one();
             known.await;
