Answer requests that are still open when a stop ends

What a host had not answered at the end of its grace ended with the connection alone: calls that outlast the stop, and requests whose bodies never end. Callers could not tell the latter from a request that had run, and had to wait for the close in both cases.

0.2 s before the process ends, after the time for requests that came at the last moment, a call that may have run now gets 502 "leaving", which promises nothing, and a request whose body is not there 503 "leaving", not run; 0.1 s are left to write them. A stream that has begun is still cut: its caller sees that it is not complete, and goes on elsewhere if the route allows it.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -95,7 +95,13 @@
         };
         (admitted, state.caller_limits())
     };
-    match read_body(body, limits).await {
+    let reading = read_body(body, limits);
+    let read = tokio::select! {
+        biased;
+        read = reading => read,
+        () = host.abandoned.cancelled() => Err(GatewayRefusal::leaving()),
+    };
+    match read {
         Err(refusal) => {
             let mut response = finish(&host, &call, Err(refusal));
             close_after(&mut response);
@@ -104,19 +110,27 @@
         Ok(body) => {
             call.body = body;
             let call = Arc::new(call);
-            let answered = match admitted {
-                Err(refusal) => Err(refusal),
-                Ok(admission) => serve(&host, &call, admission).await,
-            };
-            let answered = match answered {
-                Ok(response) if version < Version::HTTP_11 => buffer_response(response).await,
-                answered => answered,
+            let answering = answer(&host, &call, admitted, version);
+            let answered = tokio::select! {
+                biased;
+                answered = answering => answered,
+                () = host.abandoned.cancelled() => Err(GatewayRefusal::upstream_failed("leaving")),
             };
             finish(&host, &call, answered)
         }
     }
 }
 
+async fn answer(
+    host: &Arc<Host>,
+    call: &Arc<GatewayCall>,
+    admitted: Result<Admission, GatewayRefusal>,
+    version: Version,
+) -> Result<Response<GatewayBody>, GatewayRefusal> {
+    let response = serve(host, call, admitted?).await?;
+    if version < Version::HTTP_11 { buffer_response(response).await } else { Ok(response) }
+}
+
 async fn read_body(body: Incoming, limits: CallerLimits) -> Result<Bytes, GatewayRefusal> {
     let reading = Limited::new(body, limits.body_bytes).collect();
     match timeout(limits.idle_timeout, reading).await {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,9 @@
 /// Time before the end of the shutdown at which requests in flight are abandoned.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time for the last answers, to requests that are still in flight; part of the margin.
+const LAST_ANSWERS_GRACE: Duration = Duration::from_millis(100);
+
 /// Time for requests that arrived at the last moment; part of the margin.
 const LAST_REQUESTS_GRACE: Duration = Duration::from_millis(200);
 
@@ -154,6 +157,8 @@
         host.tasks.wait().await;
     };
     let all_answered = timeout(LAST_REQUESTS_GRACE, drained).await.is_ok() && all_answered;
+    host.abandoned.cancel();
+    let _streams_left = timeout(LAST_ANSWERS_GRACE, host.tasks.wait()).await;
     spdlog::info!("daemon stops", kv: {
         host = host.settings.host.as_str(),
         all_answered = all_answered,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -177,6 +177,8 @@
     pub closing: CancellationToken,
     /// Cancelled when no more connections are to be accepted.
     pub closed: CancellationToken,
+    /// Cancelled when requests that are still in flight get an answer that says so.
+    pub abandoned: CancellationToken,
     /// Tasks that serve connections and relay streams.
     pub tasks: TaskTracker,
     /// Socket for datagrams between daemons.
@@ -255,6 +257,7 @@
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
             closed: CancellationToken::new(),
+            abandoned: CancellationToken::new(),
             tasks: TaskTracker::new(),
             state: Mutex::new(state),
         })
