Stop within a short grace

A host let callers in for 2.6 s after SIGTERM whatever its grace. With a grace of 2 s it was killed in the middle of that: everything in flight was cut, and nothing told how the stop had ended.

Callers are now let in for 65 % of the time for requests in flight at most, which leaves the rest for what was let in last. With a grace of 5 s or more nothing changes; with 4 s it is 2.34 s instead of 2.6 s.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,6 +20,9 @@
 /// Time for which the load balancer may still send callers after the readiness check began to fail.
 const BALANCER_LAG: Duration = Duration::from_millis(2_600);
 
+/// Fraction of the time for requests in flight for which callers are let in at most.
+const BALANCER_LAG_FRACTION: f64 = 0.65;
+
 /// Time before the end of the shutdown at which requests in flight are abandoned.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 
@@ -142,7 +145,8 @@
     peers::send_heartbeat(host, false);
     leader::release_lease(host).await;
     peers::send_heartbeat(host, false);
-    let lag = BALANCER_LAG.saturating_sub(host.now().since(started));
+    let lag = BALANCER_LAG.min(span.mul_f64(BALANCER_LAG_FRACTION));
+    let lag = lag.saturating_sub(host.now().since(started));
     sleep(lag).await;
     host.closing.cancel();
     host.tasks.close();
