--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use dotterellane_decisions::run_times::StopSpan;
 use dotterellane_units::{HostIncarnation, boot_clock};
 use thiserror::Error;
 use tokio::net::UdpSocket;
@@ -20,9 +21,15 @@
 /// Time for which the load balancer may still send callers after the readiness check began to fail.
 const BALANCER_LAG: Duration = Duration::from_millis(2_600);
 
+/// Fraction of the time for requests in flight for which callers are let in at most.
+const BALANCER_LAG_FRACTION: f64 = 0.65;
+
 /// Time before the end of the shutdown at which requests in flight are abandoned.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time for the last answers, to requests that are still in flight; part of the margin.
+const LAST_ANSWERS_GRACE: Duration = Duration::from_millis(100);
+
 /// Time for requests that arrived at the last moment; part of the margin.
 const LAST_REQUESTS_GRACE: Duration = Duration::from_millis(200);
 
@@ -130,21 +137,23 @@
 async fn shut_down(host: &Arc<Host>, accepting: JoinHandle<()>) {
     spdlog::info!("shutdown requested", kv: { host = host.settings.host.as_str() });
     let started = host.now();
-    let grace = {
+    let span = {
         let mut state = host.state();
-        state.stop_requested_at = Some(started);
-        state.tuning.shutdown
+        let span = state.tuning.shutdown.saturating_sub(SHUTDOWN_MARGIN);
+        state.stop = Some(StopSpan { requested: started, end: started + span });
+        span
     };
     host.leaving.cancel();
     host.holdings_changed.notify_waiters();
     peers::send_heartbeat(host, false);
     leader::release_lease(host).await;
     peers::send_heartbeat(host, false);
-    let lag = BALANCER_LAG.saturating_sub(host.now().since(started));
+    let lag = BALANCER_LAG.min(span.mul_f64(BALANCER_LAG_FRACTION));
+    let lag = lag.saturating_sub(host.now().since(started));
     sleep(lag).await;
     host.closing.cancel();
     host.tasks.close();
-    let left = grace.saturating_sub(host.now().since(started)).saturating_sub(SHUTDOWN_MARGIN);
+    let left = span.saturating_sub(host.now().since(started));
     let all_answered = timeout(left, host.tasks.wait()).await.is_ok();
     host.closed.cancel();
     let drained = async {
@@ -155,6 +164,8 @@
         host.tasks.wait().await;
     };
     let all_answered = timeout(LAST_REQUESTS_GRACE, drained).await.is_ok() && all_answered;
+    host.abandoned.cancel();
+    let _streams_left = timeout(LAST_ANSWERS_GRACE, host.tasks.wait()).await;
     spdlog::info!("daemon stops", kv: {
         host = host.settings.host.as_str(),
         all_answered = all_answered,
