Do not let a bare head replace another one

Before the head of the silent one that is only a head, and no better than the other's: the other one is dropped, its run is spent, and if the first is silent again the stream has no attempt left. No test shows it yet.

--- a/crates/gateway/src/beside.rs
+++ b/crates/gateway/src/beside.rs
@@ -42,6 +42,8 @@
     pub probes: bool,
     /// Whether it may be asked again itself, as only its connection may have gone dead.
     pub may_repeat: bool,
+    /// Whether its head is there, so that what it sends next is an event.
+    pub sends_events: bool,
 }
 
 /// What came of asking another upstream beside a silent one.
@@ -86,6 +88,8 @@
         let mut probe = pin!(is_gone(silent.selected.address));
         let mut first = pin!(first);
         loop {
+            // A head of the silent one is no better than that of the other one.
+            let may_go_on = silent.sends_events || other.is_none();
             tokio::select! {
                 biased;
                 begun = await_event(&mut other), if other.is_some() => {
@@ -96,7 +100,7 @@
                     }
                     break;
                 }
-                next = &mut first, if end.first.is_none() && !end.gone => {
+                next = &mut first, if end.first.is_none() && !end.gone && may_go_on => {
                     let sound = is_sound(&next);
                     end.first = Some(next);
                     if sound {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -297,7 +297,7 @@
             return classify(host, call, progress, pending.selected, pending.asked_at, sent);
         }
         let PendingSend { selected, head, .. } = &mut pending;
-        let silent = SilentUpstream { selected, probes, may_repeat: false };
+        let silent = SilentUpstream { selected, probes, may_repeat: false, sends_events: false };
         let is_sound =
             |sent: &SentHead| matches!(sent, Ok(response) if response.status().is_success());
         let end = ask_beside(host, call, admission, progress, silent, head, is_sound).await;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -446,7 +446,8 @@
         self.note_resume_point(&segment.source.framer);
         let is_sound = |piece: &StreamPiece| !matches!(piece, StreamPiece::Broken(_));
         let (admission, progress) = (&self.admission, &mut self.progress);
-        let silent = SilentUpstream { selected: &mut segment.selected, probes, may_repeat };
+        let selected = &mut segment.selected;
+        let silent = SilentUpstream { selected, probes, may_repeat, sends_events: true };
         let first = segment.source.read();
         let (host, call) = (&self.host, &self.call);
         let end = ask_beside(host, call, admission, progress, silent, first, is_sound).await;
