Let requests share a read of the streams in the store that failed

Found by review, by reading: each take-up of an unknown stream made a read of its own while the store was away, one after the other, so the tenth waited ten times as long, and ids that nobody began could use up the store's reads. Now those who wait share a read whether it failed or not; a host makes five a second at most, and none is waited for longer than 1 s.

--- a/crates/gateway/src/stream_versions/archive.rs
+++ b/crates/gateway/src/stream_versions/archive.rs
@@ -9,7 +9,7 @@
 use dotterellane_units::{ClockInstant, StoreInstant};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Mutex;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::state::{Host, HostState};
 
@@ -32,6 +32,12 @@
 /// Maximum number of expired rows that are removed at a time.
 const REMOVED_PER_WRITE: usize = 50;
 
+/// Minimum interval between the starts of two reads.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Longest time that requests wait for a read.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -55,9 +61,17 @@
     }
 }
 
-/// When the archive was last read, by the start of the call; the lock is held while it is read.
+/// The last read of the archive; the lock is held while it is read.
 #[derive(Debug, Default)]
-pub struct ArchiveReading(Mutex<Option<ClockInstant>>);
+pub struct ArchiveReading(Mutex<Option<ArchiveRead>>);
+
+/// A read of the archive.
+#[derive(Clone, Copy, Debug)]
+struct ArchiveRead {
+    started: ClockInstant,
+    /// Whether the store answered.
+    answered: bool,
+}
 
 /// Writes the streams that began here, until the daemon ends.
 pub async fn write_archive(host: Arc<Host>) {
@@ -126,33 +140,40 @@
     committed.map(|_| ()).map_err(|error| error.to_string())
 }
 
-/// Reads where streams began from the store, unless that was done after `asked_at`; returns whether
+/// Reads where streams began from the store, unless that was tried after `asked_at`; returns whether
 /// the store answered.
 pub async fn load_archive(host: &Arc<Host>, asked_at: ClockInstant) -> bool {
-    let mut read_at = host.archive_reading.0.lock().await;
-    if read_at.is_some_and(|at| at >= asked_at) {
-        return true;
+    let mut last = host.archive_reading.0.lock().await;
+    if let Some(read) = last.filter(|read| read.started >= asked_at) {
+        return read.answered;
+    }
+    if let Some(read) = *last {
+        sleep((read.started + MIN_READ_INTERVAL).since(host.now())).await;
     }
     let started = host.now();
-    let scanned = host.platform.table.scan(ARCHIVE_PREFIX).await;
-    let label = if scanned.is_ok() { "ok" } else { "failed" };
+    let answered = read_archive(host).await;
+    *last = Some(ArchiveRead { started, answered });
+    answered
+}
+
+async fn read_archive(host: &Arc<Host>) -> bool {
+    let scan = host.platform.table.scan(ARCHIVE_PREFIX);
+    let scanned = timeout(READ_TIMEOUT, scan).await;
+    let label = if matches!(scanned, Ok(Ok(_))) { "ok" } else { "failed" };
     host.metrics.store_calls.with_label_values(&["read_streams", label]).inc();
-    match scanned {
-        Ok(rows) => {
+    let cause = match scanned {
+        Ok(Ok(rows)) => {
             let expired = adopt_rows(host, &rows);
-            *read_at = Some(started);
-            drop(read_at);
             if !expired.is_empty() {
                 remove_rows(host.clone(), expired);
             }
-            true
-        }
-        Err(error) => {
-            let cause = error.to_string();
-            spdlog::warn!("origins of streams cannot be read", kv: { cause = cause.as_str() });
-            false
+            return true;
         }
-    }
+        Ok(Err(error)) => error.to_string(),
+        Err(_elapsed) => "no answer in time".to_owned(),
+    };
+    spdlog::warn!("origins of streams cannot be read", kv: { cause = cause.as_str() });
+    false
 }
 
 /// Notes the streams of the rows; returns the keys of expired ones.
