Read the history of versions for streams that find no settled version

Found by review, by reading: a host that reaches the store but not the leader never heard of a new version, and once the old one had left it refused every new stream until some take-up came by. Now a request that waits for a version has the history read.

A new leader does not let versions settle again whose row a leader had announced: in a change of leader just after a release no stream could begin for 2.5 s.

--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -171,7 +171,6 @@
 /// Notes the era of an answer of the store. In a new one, rows may be missing that come back soon.
 fn note_era(host: &Host, state: &mut HostState, now: ClockInstant, version: RowVersion) {
     let known = state.store_era;
-    state.first_store_era.get_or_insert(version.era);
     state.store_era = known.max(Some(version.era));
     host.metrics.store_era.set(version.era.0.try_into().unwrap_or(i64::MAX));
     if known.is_some_and(|known| known < version.era) {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -19,6 +19,8 @@
 use crate::permits::request_permit;
 use crate::refusal::GatewayRefusal;
 use crate::state::{GatewayRunKind, Host, HostState, RunningGuard, WaitingGuard, WaitingRequest};
+use crate::stream_versions::AllowedVersions;
+use crate::stream_versions::history::want_history;
 
 /// Interval between two attempts to select an upstream if no change wakes the request before.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(150);
@@ -145,6 +147,9 @@
             };
             waiting = Some(WaitingGuard::new(host, waiting_request));
         }
+        if progress.allowed == AllowedVersions::Settled {
+            want_history(host);
+        }
         let until_slot = search.slot_in(host.now()).unwrap_or(RECHECK_INTERVAL);
         let longest = RECHECK_INTERVAL.min(left).min(until_slot.max(MIN_RECHECK_INTERVAL));
         has_waited = true;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -110,8 +110,6 @@
     pub store_failed_at: Option<ClockInstant>,
     /// Era of the store's last answer; `None` before the first one.
     pub store_era: Option<StoreEra>,
-    /// Era of the store's first answer; `None` before it.
-    pub first_store_era: Option<StoreEra>,
     /// When the store last answered.
     pub store_answered_at: Option<ClockInstant>,
     /// Offset between the store's clock and the local one.
@@ -236,7 +234,6 @@
             directory_confirmed_at: None,
             store_failed_at: None,
             store_era: None,
-            first_store_era: None,
             store_answered_at: None,
             store_clock: StoreClock::default(),
             directory: Directory::default(),
--- a/crates/gateway/src/stream_versions/history.rs
+++ b/crates/gateway/src/stream_versions/history.rs
@@ -263,10 +263,10 @@
     Ok(())
 }
 
-/// Returns whether nothing was served before: the fleet starts for the first time, and the store did
-/// not come back from an older copy since this host first read it.
+/// Returns whether nothing was served before: the fleet starts for the first time, and the store has
+/// never come back from an older copy.
 fn is_first_start(host: &Host, state: &HostState) -> bool {
-    host.settings.first_start && state.store_era == state.first_store_era
+    host.settings.first_start && state.store_era == Some(StoreEra(0))
 }
 
 fn store_now(host: &Host) -> Option<StoreInstant> {
@@ -340,6 +340,10 @@
         (None, None) if is_first_start(host, &state) => VersionHistory::new(era, StoreInstant(0)),
         (None, None) => VersionHistory::new(era, now),
     };
+    if known.is_announced && known.row == expected {
+        // It was written in time.
+        return Ok((expected, history));
+    }
     Ok((expected, history.settled_again(now)))
 }
 
@@ -412,6 +416,15 @@
     Ok(Some(row))
 }
 
+/// Has the history read if it is not fresh: a new version may serve.
+pub fn want_history(host: &Host) {
+    let mut state = host.state();
+    if !state.versions.is_fresh(host.now()) {
+        state.versions.want();
+        host.versions_wanted.notify_one();
+    }
+}
+
 /// Formats a history for logs, with versions that serve no more in parentheses.
 fn describe(history: &VersionHistory) -> String {
     let services = history.services.iter().map(|(service, versions)| {
