Let a version settle again that comes back after its streams' lifetime

Found by review, by reading: a version that had left for 120 s and came back kept its old time of use and began streams at once, while a host that had missed the leader's word still counted it as expired and took the other one for the only version. Now it settles like a new one, from 5 s before the expiry on, as clocks differ. The new case fails without the change (usable at once).

With it the settle time is 3 s: 2.5 s was just the sum of the freshness and the write's timeout, counted from a time that may be slightly early.

--- a/crates/decisions/src/stream_versions/history.rs
+++ b/crates/decisions/src/stream_versions/history.rs
@@ -11,6 +11,9 @@
 /// Longest time for which a write whose answer was lost may still take effect.
 const LATE_WRITE_BOUND: Duration = Duration::from_secs(10);
 
+/// Time before the expiry of a version at which some host may already count it as expired.
+const EXPIRY_MARGIN: Duration = Duration::from_secs(5);
+
 /// The software versions that each service's upstreams run now; `None` for an unknown one.
 pub type VersionMap = BTreeMap<ServiceId, BTreeSet<Option<SoftwareVersion>>>;
 
@@ -51,6 +54,12 @@
             let present = present.get(service);
             for served in versions.iter_mut() {
                 let is_present = present.is_some_and(|present| present.contains(&served.version));
+                let may_be_expired = served
+                    .gone_since
+                    .is_some_and(|since| elapsed(now, since) + EXPIRY_MARGIN >= STREAM_LIFETIME);
+                if is_present && may_be_expired {
+                    served.usable_from = settled_at(now);
+                }
                 served.gone_since = if is_present { None } else { served.gone_since.or(Some(now)) };
             }
         }
--- a/crates/decisions/src/stream_versions/mod.rs
+++ b/crates/decisions/src/stream_versions/mod.rs
@@ -20,7 +20,7 @@
 /// Longest time after its first event at which a caller may still resume a stream.
 pub const STREAM_LIFETIME: Duration = Duration::from_secs(120);
 
-/// Time from which a history counts as known, after it was last confirmed to be the newest.
+/// Time for which a history counts as known after it was last confirmed to be the newest.
 pub const HISTORY_FRESHNESS: Duration = Duration::from_secs(2);
 
 /// Longest time that a write of the history may take.
@@ -28,7 +28,7 @@
 
 /// Time between the decision to add a version to the history and the first stream that begins there:
 /// by then, no host counts on an older history.
-pub const VERSION_SETTLE: Duration = Duration::from_millis(2_500);
+pub const VERSION_SETTLE: Duration = Duration::from_secs(3);
 
 /// Digest of a team and the id of the request that began a stream, so that no host learns the ids of
 /// another team's requests.
--- a/crates/decisions/tests/stream_versions/cases.rs
+++ b/crates/decisions/tests/stream_versions/cases.rs
@@ -65,6 +65,18 @@
     expect_that!(back.is_gone(&service(), &version("a")), eq(false));
 }
 
+// Guards against a version that is back after its streams' lifetime and begins streams at once, while
+// some host still counts it as expired.
+#[gtest]
+fn history_version_back_after_its_expiry_settles_again() {
+    let both = history(0, 1_000, &["a", "b"]);
+    let left = both.updated(StoreInstant(5_000), &present(&["a"])).expect("changed");
+    let now = after(6_000, STREAM_LIFETIME);
+    let back = left.updated(now, &present(&["a", "b"])).expect("changed");
+    expect_that!(is_usable(&back, "b", now), eq(false));
+    expect_that!(is_usable(&back, "b", after(now.0, VERSION_SETTLE)), eq(true));
+}
+
 #[gtest]
 fn history_unknown_version_is_never_the_sole_one() {
     let unknown = history(0, 1_000, &[""]);
--- a/crates/decisions/tests/stream_versions/main.rs
+++ b/crates/decisions/tests/stream_versions/main.rs
@@ -97,7 +97,7 @@
 /// A schedule for each mechanism but `RowEra` in which streams are joined without it.
 const CAUGHT: [(Removed, Troubles, u64); 11] = [
     (Removed::SettleTime, LATE_WRITES, 1),
-    (Removed::FreshnessBound, CUTS, 12),
+    (Removed::FreshnessBound, CUTS, 14),
     (Removed::TakeoverRewrite, LATE_WRITES, 7),
     (Removed::UnknownVersions, ALL_TROUBLES, 4),
     (Removed::CompleteSince, RESTORES, 195),
