Hold a stream at its version also if its route could not be resumed at first

Found by review, by reading: a route that gains resumption while a request waits makes the relay resume the stream, but every version was still allowed for it, as that had been decided by the route before. Now the first event decides whatever was allowed.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -416,7 +416,7 @@
             return;
         }
         self.has_begun = true;
-        if self.progress.allowed == AllowedVersions::Settled {
+        if !matches!(self.progress.allowed, AllowedVersions::Begun(_)) {
             self.progress.allowed = AllowedVersions::Begun(selected.version.clone());
         }
         if let Some(stream) = self.progress.stream {
