Name a time to the caller of a stream that nobody knows

Found by review, by reading: a take-up was refused for good when all hosts and the store had answered, although the host that began the stream may not have told it yet, and also when this host had heard no other one.

The names of the hosts that are told say so: "keeper" already means the holder of a runner's lease.

--- a/crates/gateway/src/stream_versions/mod.rs
+++ b/crates/gateway/src/stream_versions/mod.rs
@@ -11,20 +11,24 @@
 
 use dotterellane_decisions::stream_versions::{StreamDigest, StreamOrigin};
 use dotterellane_units::{ClockInstant, ServiceId, SoftwareVersion, StoreInstant};
+use http::StatusCode;
 
-use self::history::{KnownVersions, StoreReading};
+use self::history::StoreReading;
 use crate::directory::KnownUpstream;
 use crate::document::CallKind;
 use crate::handler::{Admission, GatewayCall};
 use crate::refusal::GatewayRefusal;
 use crate::state::{Host, HostState};
 
+/// Status of a refused resumption, which did not run.
+const REFUSED: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
+
 /// Which software versions may run a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum AllowedVersions {
-    /// All: nothing of it can be resumed.
+    /// All: the response is no stream that can be resumed.
     All,
-    /// Those at which a stream may begin.
+    /// Those at which a stream may begin: every host knows that they serve.
     Settled,
     /// The one that began the stream; `None` is an unknown one, which equals no other.
     Begun(Option<SoftwareVersion>),
@@ -88,9 +92,6 @@
     Ok(StreamStart { allowed, service: Some(service), digest })
 }
 
-/// Status of a refused resumption, which did not run.
-const REFUSED: http::StatusCode = http::StatusCode::SERVICE_UNAVAILABLE;
-
 /// Returns the digest of the request that began the stream: the one that the caller resumes, else
 /// this one.
 fn stream_digest(call: &GatewayCall, admission: &Admission) -> Option<StreamDigest> {
@@ -119,11 +120,10 @@
 /// Returns the version of `service` that began all streams that may still be resumed, if there is
 /// only one and that is certain.
 pub fn sole_origin(
-    versions: &KnownVersions,
     state: &HostState,
     now: ClockInstant,
     service: &ServiceId,
 ) -> Option<StreamOrigin> {
-    let version = versions.sole_version(now, service, state.store_reading(now))?;
+    let version = state.versions.sole_version(now, service, state.store_reading(now))?;
     Some(StreamOrigin { service: service.clone(), version: version.clone() })
 }
--- a/crates/gateway/src/stream_versions/origins.rs
+++ b/crates/gateway/src/stream_versions/origins.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use super::archive::load_archive;
-use super::sole_origin;
+use super::{REFUSED, sole_origin};
 use crate::dispatch::pick_service;
 use crate::handler::{Admission, GatewayCall};
 use crate::messages::PeerMessage;
@@ -59,7 +59,7 @@
             return;
         }
         for (stream, origin) in untold {
-            for peer in keepers_of(&state, now, &stream, TOLD_HOSTS) {
+            for peer in origin_hosts(&state, now, &stream, TOLD_HOSTS) {
                 let streams = reports.entry(peer).or_default().entry(origin.clone()).or_default();
                 streams.push(stream);
             }
@@ -77,7 +77,7 @@
 }
 
 /// Returns the hosts that are told about a stream, the first to be told first.
-fn keepers_of(
+fn origin_hosts(
     state: &HostState,
     now: ClockInstant,
     stream: &StreamDigest,
@@ -127,13 +127,15 @@
     let service = pick_service(call, admission);
     let sole = {
         let state = host.state();
-        sole_origin(&state.versions, &state, host.now(), &service)
+        sole_origin(&state, host.now(), &service)
     };
     if let Some(origin) = sole {
         return Ok(origin);
     }
-    let Some(stream) = stream else { return Err(unknown_forever()) };
-    let (found, all_answered) = ask_keepers(host, stream).await;
+    let Some(stream) = stream else {
+        return Err(GatewayRefusal::fixed(REFUSED, "stream_origin_unknown"));
+    };
+    let (found, all_answered) = ask_origin_hosts(host, stream).await;
     if let Some(origin) = found {
         return Ok(origin);
     }
@@ -148,16 +150,10 @@
         store_answered = loaded,
         versions = versions.as_str(),
     });
-    if all_answered && loaded {
-        return Err(unknown_forever());
-    }
+    // Its host may not have told it yet.
     Err(GatewayRefusal::not_run("stream_origin_unknown", UNKNOWN_RETRY_AFTER))
 }
 
-fn unknown_forever() -> GatewayRefusal {
-    GatewayRefusal::fixed(super::REFUSED, "stream_origin_unknown")
-}
-
 /// Waits shortly until the history of the software versions is known to be the newest.
 async fn await_history(host: &Host) {
     let wait = async {
@@ -182,17 +178,17 @@
 
 /// Asks the hosts that may have been told; returns the origin if one knows it, and whether all
 /// answered.
-async fn ask_keepers(host: &Arc<Host>, stream: StreamDigest) -> (Option<StreamOrigin>, bool) {
-    let keepers = keepers_of(&host.state(), host.now(), &stream, ASKED_HOSTS);
-    let mut answers: FuturesUnordered<_> = keepers
+async fn ask_origin_hosts(host: &Arc<Host>, stream: StreamDigest) -> (Option<StreamOrigin>, bool) {
+    let hosts = origin_hosts(&host.state(), host.now(), &stream, ASKED_HOSTS);
+    let mut answers: FuturesUnordered<_> = hosts
         .iter()
-        .map(|keeper| async move {
+        .map(|peer| async move {
             let id = rand::random();
             let question = PeerMessage::OriginQuestion(id, stream);
-            host.origin_questions.ask(host, keeper, id, &question).await
+            host.origin_questions.ask(host, peer, id, &question).await
         })
         .collect();
-    let mut all_answered = true;
+    let mut all_answered = !hosts.is_empty();
     while let Some(answer) = answers.next().await {
         match answer {
             Some(Some(origin)) => return (Some(origin), true),
