Do not confirm an older configuration when a newer one cannot be used

Cause: a host could not tell "the newest version is in use" from "a newer one exists that cannot be used". The follower skipped the unreadable row, its position was past it by then, and the next answer without changes confirmed the version before as the newest; the leader's heartbeats did the same for all.

Ruled out: keys cached with connections or admissions (each send is admitted again), and age of evidence (`document_confirmed_at` was renewed every 0.6 s).

Change: the newest known version of the row is kept with why it cannot be used (`ConfigurationRow`). An answer without changes, or the leader's word, confirms the configuration in use only if it is that version. The leader announces the newest version also when it cannot use it. The state lasts until a later version can be used; it is logged once with version and cause, is a metric and a reason of refusals, and stands in the body of the readiness check. The revision of an unreadable version is noted, so that an older copy of the store does not count as the newest.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -161,6 +161,8 @@
     pub document_key: &'static str,
     /// Parses a configuration.
     pub parse_document: fn(&[u8]) -> Result<RoutingDocument, DecodeError>,
+    /// Parses the revision alone of a configuration that cannot be parsed as a whole.
+    pub parse_revision: fn(&[u8]) -> Option<u64>,
     /// Parses a row of the directory.
     pub parse_entry: fn(&[u8]) -> Result<DirectoryEntry, DecodeError>,
     /// Parses the report that a runner returns when it is queried.
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use crate::configuration_row::RowFault;
 use crate::leader;
 use crate::messages::{ConfigurationMark, DirectoryRow, PeerMessage, StoreObservation};
 use crate::peers::send_to_all;
@@ -210,20 +211,10 @@
         };
         let newest = batch.rows.iter().rev().find(|row| row.key == host.wire.document_key);
         match newest {
-            // The version in force is unknown until one can be parsed.
-            Some(FeedRow { version, value: Some(value), .. })
-                if !adopt_document(&host, started, *version, value) =>
-            {
-                continue;
-            }
-            Some(FeedRow { value: Some(_), .. }) => {}
-            Some(FeedRow { value: None, .. }) => {
-                spdlog::error!("configuration removed from the store", kv: {
-                    version = batch.version.to_string().as_str(),
-                });
-                continue;
-            }
-            None if is_snapshot && host.state().document.is_some() => continue,
+            // An answer from behind shows nothing about the newest version.
+            _ if batch.version < host.state().configuration_row.version => {}
+            Some(row) => adopt_version(&host, started, row.version, row.value.as_deref()),
+            None if is_snapshot => adopt_version(&host, started, batch.version, None),
             None => {}
         }
         let mut state = host.state();
@@ -233,13 +224,40 @@
                     known = state.newest_configuration.revision,
                 });
             }
-        } else if state.document_version.era == batch.version.era {
-            // In a new era the row has to be seen again: the copy may hold an older one.
+        } else if state.configuration_row.confirms(state.document_version, batch.version) {
             state.confirm_document(Some(started));
         }
     }
 }
 
+/// Adopts the newest version of the configuration's row, or records why it cannot be used; `value`
+/// is `None` if the row is missing.
+fn adopt_version(
+    host: &Arc<Host>,
+    started: ClockInstant,
+    version: RowVersion,
+    value: Option<&[u8]>,
+) {
+    let adopted = match value {
+        Some(value) => adopt_document(host, started, version, value),
+        None => Err(RowFault::Missing),
+    };
+    let mut state = host.state();
+    let fault = adopted.err();
+    host.metrics.configuration_unusable.set(fault.is_some().into());
+    let cause = fault.as_ref().map(RowFault::to_string).unwrap_or_default();
+    if state.configuration_row.note(version, fault) {
+        spdlog::error!("newest configuration cannot be used; the last one is used until it is too old", kv: {
+            version = version.to_string().as_str(),
+            cause = cause.as_str(),
+            in_use = state.document_version.to_string().as_str(),
+        });
+        drop(state);
+        // Hosts that read only what the leader announces learn that there is a newer version.
+        host.heartbeat_wanted.notify_one();
+    }
+}
+
 /// Returns when the configuration has to be polled next.
 fn next_configuration_poll(host: &Host, last_poll: ClockInstant) -> ClockInstant {
     if leader::is_leader(host) {
@@ -255,46 +273,46 @@
     change_bound.min(leaving_bound).mul_f64(POLL_AGE_FRACTION).min(MAX_POLL_AGE)
 }
 
-/// Adopts a version of the configuration; returns whether the one now in use is the newest.
+/// Uses a version of the configuration from now on.
+///
+/// # Errors
+/// Fails if the version cannot be used; the configuration in use stays.
 fn adopt_document(
     host: &Arc<Host>,
     started: ClockInstant,
     version: RowVersion,
     value: &[u8],
-) -> bool {
-    if version < host.state().document_version {
-        return false;
-    }
-    if version == host.state().document_version {
-        return true;
+) -> Result<(), RowFault> {
+    {
+        let state = host.state();
+        if state.document.is_some() && version == state.document_version {
+            return Ok(());
+        }
+        let row = &state.configuration_row;
+        if let Some(fault) = row.fault.as_ref().filter(|_| row.version == version) {
+            return Err(fault.clone());
+        }
     }
     let document = match (host.wire.parse_document)(value) {
         Ok(document) => Arc::new(document),
         Err(error) => {
-            let cause = error.to_string();
-            spdlog::error!("configuration cannot be read; the last one stays", kv: {
-                version = version.to_string().as_str(),
-                cause = cause.as_str(),
-            });
-            return false;
+            // An older copy of the store must not count as the newest after this.
+            if let Some(revision) = (host.wire.parse_revision)(value) {
+                host.state().note_revision(ConfigurationMark { revision, version });
+            }
+            return Err(RowFault::Unreadable(error.to_string()));
         }
     };
     let now = host.now();
     let mut state = host.state();
     let is_restored = state.document_version.era < version.era;
-    let newest = state.newest_configuration;
-    if is_restored && document.revision < newest.revision {
-        spdlog::warn!("configuration in the restored store is older; the last one stays", kv: {
-            version = version.to_string().as_str(),
-            revision = document.revision,
-            known = newest.revision,
-        });
-        return false;
+    let is_older = version < state.document_version
+        || (is_restored && document.revision < state.newest_configuration.revision);
+    if is_older {
+        return Err(RowFault::Older(document.revision));
     }
     let mark = ConfigurationMark { revision: document.revision, version };
-    if mark.revision > newest.revision {
-        state.newest_configuration = mark;
-    }
+    state.note_revision(mark);
     state.document = Some(document.clone());
     state.document_version = version;
     state.set_limits(now);
@@ -309,7 +327,7 @@
     leader::on_document(host, &document);
     host.holdings_changed.notify_waiters();
     host.heartbeat_wanted.notify_one();
-    true
+    Ok(())
 }
 
 /// Follows the directory until the daemon ends.
@@ -358,9 +376,9 @@
         }
         return;
     }
-    if configuration > state.document_version {
+    if configuration > state.configuration_row.version {
         host.configuration_wanted.notify_one();
-    } else if configuration == state.document_version && state.document.is_some() {
+    } else if state.configuration_row.confirms(state.document_version, configuration) {
         let seen = state.store_clock.to_local(now, configuration_at);
         state.confirm_document(seen);
     }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -189,7 +189,11 @@
     call: &GatewayCall,
 ) -> Result<Admission, GatewayRefusal> {
     let fresh = state.is_fresh(host.now());
-    let stale = || GatewayRefusal::not_run("stale_configuration", STALE_RETRY_AFTER);
+    let reason = match state.configuration_row.fault {
+        Some(_) => "unusable_configuration",
+        None => "stale_configuration",
+    };
+    let stale = || GatewayRefusal::not_run(reason, STALE_RETRY_AFTER);
     let unless_stale = |refusal: GatewayRefusal| if fresh { refusal } else { stale() };
     let Some(document) = &state.document else {
         return Err(GatewayRefusal::not_run("no_configuration", STALE_RETRY_AFTER));
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -205,9 +205,9 @@
 pub struct StoreObservation {
     /// Era of the store, to which the times of its clock belong.
     pub era: StoreEra,
-    /// Version of the newest configuration.
+    /// Version of the newest configuration, also if the leader cannot use it.
     pub configuration: RowVersion,
-    /// Time at which that version was the newest.
+    /// Time at which the configuration that the leader uses was the newest.
     pub configuration_at: StoreInstant,
     /// Digest of the directory's fields that affect routing.
     pub directory: u64,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     pub model_wait: Histogram,
     /// Era of the store's last answer.
     pub store_era: IntGauge,
+    /// Whether the newest version of the configuration cannot be used: 1 or 0.
+    pub configuration_unusable: IntGauge,
     /// Delay of a periodic timer of the daemon, in seconds.
     pub timer_delay: Histogram,
     /// Log lines dropped because the queue was full.
@@ -77,6 +79,11 @@
             "How often the store came back from an older copy.",
         )?;
         registry.register(Box::new(store_era.clone()))?;
+        let configuration_unusable = IntGauge::new(
+            "dotterellane_configuration_unusable",
+            "Whether the newest version of the configuration cannot be used.",
+        )?;
+        registry.register(Box::new(configuration_unusable.clone()))?;
         Ok(Self {
             responses: counter(
                 "dotterellane_answers_total",
@@ -152,6 +159,7 @@
                 "Time that requests waited for a runner to load their model.",
             )?,
             store_era,
+            configuration_unusable,
             timer_delay: histogram(
                 "dotterellane_timer_delay_seconds",
                 "Delay of a periodic timer of the daemon.",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -248,7 +248,7 @@
     let mut state = host.state();
     state.buckets.absorb(now, from, incarnation, &heartbeat.spending, heartbeat.leaving);
     if heartbeat.configuration.revision > state.newest_configuration.revision {
-        state.newest_configuration = heartbeat.configuration;
+        state.note_revision(heartbeat.configuration);
         host.configuration_wanted.notify_one();
     }
     let resigned =
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -125,7 +125,7 @@
     let (status, body) = match path {
         "/metrics" => (StatusCode::OK, Bytes::from(host.metrics.render())),
         _ if is_ready(host) => (StatusCode::OK, Bytes::from_static(b"ready\n")),
-        _ => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from(describe_unready(host))),
     };
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
@@ -138,6 +138,13 @@
     !host.leaving.is_cancelled() && state.is_fresh(host.now())
 }
 
+fn describe_unready(host: &Host) -> String {
+    match &host.state().configuration_row.fault {
+        Some(fault) => format!("not ready: newest configuration cannot be used: {fault}\n"),
+        None => "not ready\n".to_owned(),
+    }
+}
+
 /// Binds a listening socket.
 ///
 /// # Errors
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::call::{ModelChoice, WireFormat};
+use crate::configuration_row::ConfigurationRow;
 use crate::directory::Directory;
 use crate::document::{CallKind, CallerLimits, RoutingDocument};
 use crate::exchange::ResponseMemory;
@@ -98,7 +99,9 @@
     pub document: Option<Arc<RoutingDocument>>,
     /// Version of the configuration's row.
     pub document_version: RowVersion,
-    /// Newest configuration that this host or another one has used.
+    /// Newest known version of that row, which may be one that cannot be used.
+    pub configuration_row: ConfigurationRow,
+    /// Newest configuration that this host or another one has used, or could not read.
     pub newest_configuration: ConfigurationMark,
     /// When this configuration was last confirmed as the newest, by the store itself or by the
     /// leader.
@@ -229,6 +232,7 @@
             tuning: settings.tuning.clone(),
             document: None,
             document_version: RowVersion::ABSENT,
+            configuration_row: ConfigurationRow::default(),
             newest_configuration: ConfigurationMark::default(),
             document_confirmed_at: None,
             directory_confirmed_at: None,
@@ -345,6 +349,13 @@
         }
     }
 
+    /// Records a configuration that exists or existed.
+    pub fn note_revision(&mut self, mark: ConfigurationMark) {
+        if mark.revision > self.newest_configuration.revision {
+            self.newest_configuration = mark;
+        }
+    }
+
     /// Returns whether the configuration in use comes from a copy that the store was restored from,
     /// while another host has used a newer one before.
     pub fn uses_restored_document(&self) -> bool {
@@ -358,7 +369,7 @@
     pub fn observation(&self) -> Option<StoreObservation> {
         Some(StoreObservation {
             era: self.store_era?,
-            configuration: self.document_version,
+            configuration: self.configuration_row.version,
             configuration_at: self.store_clock.to_store(self.document_confirmed_at?)?,
             directory: self.directory.digest(),
             directory_at: self.store_clock.to_store(self.directory_confirmed_at?)?,
