Read the configuration entry by entry, so that an odd one takes no other with it

Cause: the document was decoded as a whole, and the first odd field rejected it.

Ruled out: answering 503 to everybody until the next version, for one entry of one team.

What depends on an unreadable field is refused or left out, the rest is in force: a route is known but answers 503; a team's keys stay known and answer 503; a model, target or service is left out; nothing is loaded where the room of runners is unknown; objectives, priorities, weights and limits fall back to defaults. Unknown keys get 503 instead of 401 if not all keys can be read, and a list of teams that cannot be read opens no route. Only without the revision, the routes or a route's host name is it unknown what is in force; then the whole version counts as unusable. Faults are logged with version and field and counted in a metric.

--- a/crates/gateway/src/document.rs
+++ b/crates/gateway/src/document.rs
@@ -8,6 +8,8 @@
 use dotterellane_decisions::weight_plan::ServiceProfile;
 use dotterellane_units::{ServiceId, TeamId, TokenCount};
 
+use crate::call::DecodeError;
+
 /// What a route allows when a call fails, and whether its responses are streams.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum CallKind {
@@ -50,7 +52,8 @@
     pub event_gap: Duration,
     /// Priority; 0 is the highest.
     pub priority: u8,
-    /// Services with their weights; at least one.
+    /// Services with their weights; none if the route cannot be read as a whole. Its requests are
+    /// refused then.
     pub targets: Vec<(ServiceId, u32)>,
     /// Maximum number of times that one request may run.
     pub attempts: u32,
@@ -78,6 +81,27 @@
 pub const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
 impl HostRoute {
+    /// Returns a route for a path prefix that no request can be served on.
+    pub fn unusable(prefix: String) -> Self {
+        Self {
+            name: prefix.clone(),
+            prefix,
+            kind: CallKind::Once,
+            timeout: Duration::ZERO,
+            objective: Duration::ZERO,
+            event_gap: Duration::ZERO,
+            priority: 0,
+            targets: Vec::new(),
+            attempts: 1,
+            open_to_all: false,
+        }
+    }
+
+    /// Returns whether requests can be served on the route.
+    pub fn is_usable(&self) -> bool {
+        !self.targets.is_empty()
+    }
+
     /// Returns how long callers are expected to wait for the first or next event of a stream; the
     /// full timeout for responses that are not streams.
     pub fn idle_timeout(&self) -> Duration {
@@ -134,8 +158,19 @@
     }
 }
 
+/// Who has a key.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum KeyHolder<'a> {
+    /// This team.
+    Team(&'a TeamEntry),
+    /// A team that cannot be read; or nobody, as far as the keys can be read.
+    Unreadable,
+    /// Nobody.
+    Nobody,
+}
+
 /// One version of the configuration.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RoutingDocument {
     /// Revision number assigned by the operators.
     pub revision: u64,
@@ -143,12 +178,18 @@
     pub routes: HashMap<String, Vec<Arc<HostRoute>>>,
     /// Services by name.
     pub services: BTreeMap<ServiceId, ServiceEntry>,
-    /// All teams; without any, no route needs a key.
+    /// All teams that can be read.
     pub teams: Vec<TeamEntry>,
-    /// Index into `teams` by the digest of a key.
-    pub keys: HashMap<KeyDigest, usize>,
+    /// Whether there are teams, readable or not; otherwise no route needs a key.
+    pub needs_keys: bool,
+    /// Index into `teams` by the digest of a key; `None` for a key of a team that cannot be read.
+    pub keys: HashMap<KeyDigest, Option<usize>>,
+    /// Whether `keys` has the keys of all teams.
+    pub knows_all_keys: bool,
     /// Limits on requests and connections of callers.
     pub limits: CallerLimits,
+    /// Fields that cannot be read. What depends on them is left out or refused.
+    pub faults: Vec<DecodeError>,
 }
 
 /// BLAKE3 digest of a caller's key. Keys themselves are not stored.
@@ -173,8 +214,14 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
-    /// Returns the team that `key` belongs to.
-    pub fn find_team(&self, key: &str) -> Option<&TeamEntry> {
-        self.keys.get(&key_digest(key)).and_then(|index| self.teams.get(*index))
+    /// Returns who has `key`.
+    pub fn find_holder(&self, key: &str) -> KeyHolder<'_> {
+        match self.keys.get(&key_digest(key)) {
+            Some(index) => index
+                .and_then(|index| self.teams.get(index))
+                .map_or(KeyHolder::Unreadable, KeyHolder::Team),
+            None if self.knows_all_keys => KeyHolder::Nobody,
+            None => KeyHolder::Unreadable,
+        }
     }
 }
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use crate::call::DecodeError;
 use crate::configuration_row::RowFault;
 use crate::leader;
 use crate::messages::{ConfigurationMark, DirectoryRow, PeerMessage, StoreObservation};
@@ -46,6 +47,9 @@
 /// Delay after a failed call to the store.
 const FAILURE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Maximum number of faults of one version of the configuration that are logged.
+const MAX_LOGGED_FAULTS: usize = 8;
+
 /// Follows one feed: reads a snapshot at first and after the store lost its history, then changes.
 struct FeedFollower {
     name: &'static str,
@@ -324,12 +328,25 @@
         teams = document.teams.len(),
         after_ms = now.since(started).as_millis() as u64,
     });
+    note_faults(host, version, &document.faults);
     leader::on_document(host, &document);
     host.holdings_changed.notify_waiters();
     host.heartbeat_wanted.notify_one();
     Ok(())
 }
 
+/// Reports what cannot be read of the configuration in use.
+fn note_faults(host: &Host, version: RowVersion, faults: &[DecodeError]) {
+    host.metrics.configuration_faults.set(faults.len().try_into().unwrap_or(i64::MAX));
+    for fault in faults.iter().take(MAX_LOGGED_FAULTS) {
+        spdlog::error!("part of the configuration cannot be read and is left out", kv: {
+            version = version.to_string().as_str(),
+            cause = fault.to_string().as_str(),
+            faults = faults.len(),
+        });
+    }
+}
+
 /// Follows the directory until the daemon ends.
 pub async fn follow_directory(host: Arc<Host>) {
     let mut follower = FeedFollower::new("directory", host.platform.directory.clone());
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -14,7 +14,7 @@
 use crate::body::GatewayBody;
 use crate::call::{CallHead, ModelChoice};
 use crate::dispatch::{DispatchTrace, dispatch};
-use crate::document::{CallerLimits, HostRoute};
+use crate::document::{CallerLimits, HostRoute, KeyHolder};
 use crate::exchange::MAX_RESPONSE_BYTES;
 use crate::refusal::GatewayRefusal;
 use crate::spending::charge;
@@ -201,16 +201,25 @@
     let Some(route) = document.find_route(&call.host, &call.path) else {
         return Err(unless_stale(GatewayRefusal::fixed(StatusCode::NOT_FOUND, "no_route")));
     };
-    let needs_key = !document.teams.is_empty() && !route.open_to_all;
+    if !route.is_usable() {
+        return Err(GatewayRefusal::not_run("unreadable_route", STALE_RETRY_AFTER));
+    }
+    let needs_key = document.needs_keys && !route.open_to_all;
     let mut admission =
         Admission { route: route.clone(), team: None, needs_key, cost: TokenCount(0) };
     if needs_key {
         if !fresh {
             return Err(stale());
         }
-        let team = call.head.key.as_deref().and_then(|key| document.find_team(key));
-        let Some(team) = team else {
-            return Err(GatewayRefusal::fixed(StatusCode::UNAUTHORIZED, "unknown_key"));
+        let key = call.head.key.as_deref();
+        let team = match key.map_or(KeyHolder::Nobody, |key| document.find_holder(key)) {
+            KeyHolder::Team(team) => team,
+            KeyHolder::Unreadable => {
+                return Err(GatewayRefusal::not_run("unreadable_team", STALE_RETRY_AFTER));
+            }
+            KeyHolder::Nobody => {
+                return Err(GatewayRefusal::fixed(StatusCode::UNAUTHORIZED, "unknown_key"));
+            }
         };
         admission.cost = match (team.counts_tokens, call.head.tokens) {
             (true, Some((prompt, output))) => TokenCount(prompt.0.saturating_add(output.0)),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,8 @@
     pub store_era: IntGauge,
     /// Whether the newest version of the configuration cannot be used: 1 or 0.
     pub configuration_unusable: IntGauge,
+    /// Number of fields of the configuration in use that cannot be read.
+    pub configuration_faults: IntGauge,
     /// Delay of a periodic timer of the daemon, in seconds.
     pub timer_delay: Histogram,
     /// Log lines dropped because the queue was full.
@@ -84,6 +86,11 @@
             "Whether the newest version of the configuration cannot be used.",
         )?;
         registry.register(Box::new(configuration_unusable.clone()))?;
+        let configuration_faults = IntGauge::new(
+            "dotterellane_configuration_faults",
+            "Number of fields of the configuration in use that cannot be read.",
+        )?;
+        registry.register(Box::new(configuration_faults.clone()))?;
         Ok(Self {
             responses: counter(
                 "dotterellane_answers_total",
@@ -160,6 +167,7 @@
             )?,
             store_era,
             configuration_unusable,
+            configuration_faults,
             timer_delay: histogram(
                 "dotterellane_timer_delay_seconds",
                 "Delay of a periodic timer of the daemon.",
