Take names of models, services and teams as the operators chose them

Cause: names from the platform were checked by the rule for names in this system's own documents, 63 bytes of letters, digits and four signs.

Change: names that a platform gives (`from_name`) may be any text that a header can carry unchanged: 1 to 200 bytes, no control characters, no space at the ends. Documents of the product keep their rule; between daemons both are accepted.

--- a/crates/units/src/identifier.rs
+++ b/crates/units/src/identifier.rs
@@ -23,6 +23,20 @@
     }
 }
 
+/// Longest name that the operators of a platform can choose, in bytes.
+pub const MAX_NAME_BYTES: usize = 200;
+
+/// Accepts what a header can carry unchanged.
+fn check_name(kind: &'static str, text: &str) -> Result<(), UnitError> {
+    if text.is_empty() || text.len() > MAX_NAME_BYTES {
+        return Err(UnitError::TextLength { kind, length: text.len(), longest: MAX_NAME_BYTES });
+    }
+    if text.chars().any(char::is_control) || text.trim() != text {
+        return Err(UnitError::NameCharacter { kind, text: text.to_owned() });
+    }
+    Ok(())
+}
+
 /// Longest software version, in bytes.
 pub const MAX_SOFTWARE_VERSION_BYTES: usize = 200;
 
@@ -38,7 +52,7 @@
 }
 
 macro_rules! text_ids {
-    ($check:ident: $($(#[$doc:meta])* $name:ident = $kind:literal;)*) => {$(
+    ($check:ident, $check_name:ident: $($(#[$doc:meta])* $name:ident = $kind:literal;)*) => {$(
         $(#[$doc])*
         #[derive(Clone, Eq, Hash, Ord, PartialEq, PartialOrd)]
         #[derive(JsonSchema)]
@@ -51,6 +65,17 @@
             }
         }
 
+        impl $name {
+            /// Accepts a name that a platform, not a document of this system, gives to the object.
+            ///
+            /// # Errors
+            /// Fails if the name cannot be used; the error tells why.
+            pub fn from_name(text: &str) -> Result<Self, UnitError> {
+                $check_name($kind, text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
         impl FromStr for $name {
             type Err = UnitError;
 
@@ -86,21 +111,24 @@
             where
                 D: Deserializer<'de>,
             {
+                // Documents are checked; daemons tell each other names of either origin.
+                let is_document = deserializer.is_human_readable();
                 let text = String::deserialize(deserializer)?;
-                text.parse().map_err(serde::de::Error::custom)
+                let id = if is_document { text.parse() } else { Self::from_name(&text) };
+                id.map_err(serde::de::Error::custom)
             }
         }
     )*};
 }
 
 text_ids! {
-    check_software_version:
+    check_software_version, check_software_version:
     /// Version of an upstream's software; opaque text that is only compared as a whole.
     SoftwareVersion = "software version";
 }
 
 text_ids! {
-    check_id:
+    check_id, check_id:
     /// Identifies an adapter of a model.
     AdapterId = "adapter id";
     /// Identifies a failure domain: hosts that may fail together.
@@ -109,22 +137,26 @@
     HostId = "host id";
     /// Identifies a caller's key; the public part of `dk_<id>_<secret>`.
     KeyId = "key id";
-    /// Identifies a model.
-    ModelId = "model id";
     /// Identifies an operator.
     OperatorId = "operator id";
     /// Identifies a region: failure domains with low network latency between them.
     RegionId = "region id";
-    /// Identifies a plain service, which one or more upstreams offer.
-    ServiceId = "service id";
-    /// Identifies a team: callers that share one rate limit.
-    TeamId = "team id";
     /// Identifies an upstream: a runner, or an instance of a service.
     UpstreamId = "upstream id";
     /// Version of the weights of a model or adapter.
     VersionLabel = "version label";
 }
 
+text_ids! {
+    check_id, check_name:
+    /// Identifies a model.
+    ModelId = "model id";
+    /// Identifies a plain service, which one or more upstreams offer.
+    ServiceId = "service id";
+    /// Identifies a team: callers that share one rate limit.
+    TeamId = "team id";
+}
+
 /// Identifies one request within the fleet; 128 random bits, written as 32 hex digits.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(Deserialize, Serialize)]
--- a/crates/units/src/parse.rs
+++ b/crates/units/src/parse.rs
@@ -24,6 +24,14 @@
         /// Longest text that is allowed, in bytes.
         longest: usize,
     },
+    /// A name contains a control character, or starts or ends with a space.
+    #[error("{kind} {text:?} contains a control character, or starts or ends with a space")]
+    NameCharacter {
+        /// Kind of id that was expected, such as `team id`.
+        kind: &'static str,
+        /// Text that was parsed.
+        text: String,
+    },
     /// An id contains a character outside `a-z`, `A-Z`, `0-9`, `-`, `_`, `.` and `:`.
     #[error("{kind} {text:?} contains {found:?}; use letters, digits, '-', '_', '.' or ':'")]
     IdCharacter {
--- a/crates/units/tests/units.rs
+++ b/crates/units/tests/units.rs
@@ -65,3 +65,14 @@
     expect_that!(RequestRate::per_second(0).interval(), eq(Duration::MAX));
     expect_that!(RequestRate::per_second(0).scaled(0.5), eq(RequestRate::per_second(0)));
 }
+
+// Guards against names of a platform that fit into its headers and take their object out of use.
+#[gtest]
+fn team_name_of_a_platform_fits_a_header() {
+    for name in ["Connacht Coaches", "Café", "a/b", &"x".repeat(200)] {
+        expect_that!(TeamId::from_name(name).map(|team| team.to_string()), ok(eq(name)));
+    }
+    for name in ["", " a", "a ", "a\nb", "a\u{7f}b", &"x".repeat(201)] {
+        expect_that!(TeamId::from_name(name), err(anything()), "{name:?}");
+    }
+}
