Let requests with only some parts of a tie run, and try a doubtful part

Cause: parts that were at the same crashes tie, and every request with any of them was refused. Only a success clears a part, so the verdict kept out its own evidence.

Change: parts with the same open crashes are one group. A request with all of them is refused; one with only some runs, and either succeeds, which clears these, or crashes an upstream, which names them. A part that two others could explain as well is tried: one request at a time and host, hosts take turns of 2 s; after a failed trial again in 20 min, at most twice. Trials are logged, and `dotterellane_suspected_runs_total` counts both.

--- a/crates/decisions/src/quarantine/mod.rs
+++ b/crates/decisions/src/quarantine/mod.rs
@@ -3,9 +3,11 @@
 //! Each request in flight at an upstream when it crashes is a suspect of that crash, and so is each
 //! part of its prompt that other requests share. Hosts exchange the suspects of each crash. What the
 //! crashes have in common, and what has not succeeded since, is quarantined (`CrashVerdict`): such a
-//! request, or one with such a part, is refused. Requests that are suspects of a first crash are not
+//! request, or one with such a part, is refused, unless it could show that the part is sound
+//! (`QuarantineGroup`). Requests that are suspects of a first crash are not
 //! run side by side, so that a second crash has only one of them as a suspect.
 
+mod group;
 mod sound_parts;
 mod verdict;
 
@@ -15,6 +17,7 @@
 use dotterellane_units::ClockInstant;
 use serde::{Deserialize, Serialize};
 
+pub use self::group::FleetPosition;
 pub use self::sound_parts::SOUND_SPAN;
 use self::sound_parts::SoundParts;
 use self::verdict::CrashVerdict;
@@ -83,6 +86,31 @@
     pub suspects: Vec<CrashSuspect>,
 }
 
+/// What the known crashes say about a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestSuspicion {
+    /// Nothing is held against it.
+    Nothing,
+    /// It has some, but not all, of the parts that the same crashes have; it may run.
+    Shared,
+    /// It may run, to show whether its part crashes upstreams.
+    OnTrial,
+    /// It must not run.
+    Quarantined,
+}
+
+impl RequestSuspicion {
+    /// Returns the name, as metrics and logs have it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Nothing => "nothing",
+            Self::Shared => "shared",
+            Self::OnTrial => "on_trial",
+            Self::Quarantined => "quarantined",
+        }
+    }
+}
+
 /// Crashes of one request, for logs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CrashSummary {
@@ -112,6 +140,7 @@
     sound_parts: SoundParts,
     /// What `crashes` show; `None` after they have changed.
     verdict: Option<CrashVerdict>,
+    position: FleetPosition,
 }
 
 impl CrashTracker {
@@ -256,14 +285,45 @@
         cleared.collect()
     }
 
+    /// Sets the position of this host among all hosts, by which they take turns with trials.
+    pub fn set_position(&mut self, position: FleetPosition) {
+        self.position = position;
+    }
+
     /// Returns whether a request must be refused because it crashes upstreams.
     pub fn is_quarantined(&mut self, now: ClockInstant, identity: &RequestIdentity) -> bool {
+        self.suspicion(now, identity) == RequestSuspicion::Quarantined
+    }
+
+    /// Returns what the known crashes say about a request. One that may run on trial does so while no
+    /// other request with the same part is in flight here.
+    pub fn suspicion(&mut self, now: ClockInstant, identity: &RequestIdentity) -> RequestSuspicion {
         self.expire(now);
         if self.crashes.is_empty() {
-            return false;
+            return RequestSuspicion::Nothing;
         }
-        let quarantined = &self.verdict(now).quarantined;
-        !quarantined.is_empty() && identity.suspects().any(|suspect| quarantined.contains(&suspect))
+        let suspects: BTreeSet<_> = identity.suspects().collect();
+        if self.verdict(now).quarantined.is_disjoint(&suspects) {
+            return RequestSuspicion::Nothing;
+        }
+        let (position, running) = (self.position, self.running_parts());
+        let Some(trials) = self.verdict(now).trials(&suspects) else {
+            return RequestSuspicion::Quarantined;
+        };
+        let may_run = trials.iter().all(|(group, delay)| {
+            group.is_trial_due(now, *delay, position) && group.suspects.is_disjoint(&running)
+        });
+        match may_run {
+            true if trials.is_empty() => RequestSuspicion::Shared,
+            true => RequestSuspicion::OnTrial,
+            false => RequestSuspicion::Quarantined,
+        }
+    }
+
+    /// Returns the parts of all requests in flight.
+    fn running_parts(&self) -> BTreeSet<CrashSuspect> {
+        let requests = self.in_flight.values().flat_map(HashMap::values);
+        requests.flat_map(|request| &request.parts).copied().map(CrashSuspect::Part).collect()
     }
 
     /// Returns the crashes of a request, or of the part of its prompt with most of them.
--- a/crates/decisions/src/quarantine/verdict.rs
+++ b/crates/decisions/src/quarantine/verdict.rs
@@ -3,19 +3,20 @@
 //! A suspect that is quarantined explains the crashes that it is a suspect of. The suspect of most
 //! crashes is quarantined first, so that others, which only shared its crashes, are not.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use dotterellane_protocol::quarantine::CrashSuspect;
 use dotterellane_units::ClockInstant;
 
 use super::CrashRecord;
+use super::group::{CRASHES_TO_JUDGE, GroupJudgement, QuarantineGroup};
 
 /// Crashes after which a request is quarantined if it is the sole repeated request of one of them.
 const CRASHES_TO_QUARANTINE: usize = 2;
 
 /// Crashes after which a suspect is quarantined even if others share all of them.
-const CRASHES_DESPITE_COMPANIONS: usize = 3;
+const CRASHES_DESPITE_COMPANIONS: usize = CRASHES_TO_JUDGE;
 
 /// Number of crashes within [`MASS_SPAN`] of a crash, itself included, from which on two crashes do
 /// not suffice.
@@ -31,8 +32,10 @@
 /// What the known crashes show.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashVerdict {
-    /// Suspects whose requests must be refused.
+    /// Suspects whose requests are refused, with the exceptions of their groups.
     pub(super) quarantined: BTreeSet<CrashSuspect>,
+    /// The same, by the crashes that they have.
+    groups: Vec<QuarantineGroup>,
     /// Number of crashes of each suspect.
     pub(super) counts: HashMap<CrashSuspect, usize>,
     /// Suspects of crashes that no quarantined one explains.
@@ -55,18 +58,19 @@
         let mut open: Vec<&CrashRecord> = crashes.iter().collect();
         let mut tallies = tally(&open);
         let counts = tallies.iter().map(|(suspect, tally)| (*suspect, tally.count)).collect();
-        let mut quarantined = BTreeSet::new();
+        let (mut quarantined, mut groups) = (BTreeSet::new(), Vec::new());
         loop {
             let next = next_quarantined(now, crashes, &open, &tallies);
             if next.is_empty() {
                 break;
             }
+            groups.extend(group_by_crashes(&next, &open));
             open.retain(|crash| crash.suspects.is_disjoint(&next));
             quarantined.extend(next);
             tallies = tally(&open);
         }
         let review_at = next_review(now, &tallies);
-        Self { quarantined, counts, open: tallies.into_keys().collect(), review_at }
+        Self { quarantined, groups, counts, open: tallies.into_keys().collect(), review_at }
     }
 
     /// Returns whether the verdict holds at `now` if no crash changed.
@@ -79,6 +83,27 @@
         self.counts.get(&suspect).copied().unwrap_or(0)
     }
 
+    /// Returns the groups whose trial a request with these suspects would be, with the time from
+    /// their last crash until a trial; `None` if the request must not run.
+    pub(super) fn trials(
+        &self,
+        suspects: &BTreeSet<CrashSuspect>,
+    ) -> Option<Vec<(&QuarantineGroup, Duration)>> {
+        let is_clean = |group: &QuarantineGroup| {
+            let parts = suspects.iter().filter(|one| is_part(one));
+            parts.filter(|one| !group.suspects.contains(one)).all(|one| self.count(*one) == 0)
+        };
+        let mut trials = Vec::new();
+        for group in &self.groups {
+            match group.judge(suspects, is_clean(group)) {
+                GroupJudgement::Passes => {}
+                GroupJudgement::OnTrial(delay) => trials.push((group, delay)),
+                GroupJudgement::Refused => return None,
+            }
+        }
+        Some(trials)
+    }
+
     /// Returns whether a crash that nothing else explains has this suspect.
     pub(super) fn is_open(&self, suspect: CrashSuspect) -> bool {
         self.open.contains(&suspect)
@@ -95,6 +120,32 @@
     }
 }
 
+fn is_part(suspect: &CrashSuspect) -> bool {
+    matches!(suspect, CrashSuspect::Part(_))
+}
+
+/// Groups parts by the open crashes that they have. Each request is a group of its own: those that
+/// always meet may all be guilty.
+fn group_by_crashes(
+    suspects: &BTreeSet<CrashSuspect>,
+    open: &[&CrashRecord],
+) -> Vec<QuarantineGroup> {
+    let mut groups: BTreeMap<(Vec<usize>, Option<CrashSuspect>), BTreeSet<CrashSuspect>> =
+        BTreeMap::new();
+    for suspect in suspects {
+        let crashes = open.iter().enumerate();
+        let crashes = crashes.filter(|(_, crash)| crash.suspects.contains(suspect));
+        let indices = crashes.map(|(index, _)| index).collect();
+        let request = (!is_part(suspect)).then_some(*suspect);
+        groups.entry((indices, request)).or_default().insert(*suspect);
+    }
+    let groups = groups.into_iter().map(|((indices, _), suspects)| {
+        let crashes: Vec<&CrashRecord> = indices.into_iter().map(|index| open[index]).collect();
+        QuarantineGroup::new(suspects, &crashes)
+    });
+    groups.collect()
+}
+
 fn tally(crashes: &[&CrashRecord]) -> HashMap<CrashSuspect, SuspectTally> {
     let mut tallies: HashMap<CrashSuspect, SuspectTally> = HashMap::new();
     for crash in crashes {
@@ -120,8 +171,7 @@
     let candidates = tallies.keys().copied();
     let candidates =
         candidates.filter(|suspect| is_quarantined(now, crashes, open, tallies, *suspect));
-    let (parts, requests): (BTreeSet<_>, BTreeSet<_>) =
-        candidates.partition(|suspect| matches!(suspect, CrashSuspect::Part(_)));
+    let (parts, requests): (BTreeSet<_>, BTreeSet<_>) = candidates.partition(is_part);
     let most = |suspects: &BTreeSet<CrashSuspect>| {
         suspects.iter().map(|suspect| tallies[suspect].count).max().unwrap_or(0)
     };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub breaks: IntCounterVec,
     /// Silences of upstreams after which another one was sought, by phase and by how they ended.
     pub silences: IntCounterVec,
+    /// Requests sent to an upstream although a part of them was at crashes, by why they may run.
+    pub suspected_runs: IntCounterVec,
     /// This host's requests for tokens, by the leader's answer.
     pub grants: IntCounterVec,
     /// Requests for permits to send to upstreams with a rate limit, by outcome.
@@ -112,6 +114,11 @@
                 "Silences of upstreams, before the head or in a stream, by how they ended.",
                 &["phase", "end"],
             )?,
+            suspected_runs: counter(
+                "dotterellane_suspected_runs_total",
+                "Requests sent although a part of them was at crashes of upstreams, by why.",
+                &["suspicion"],
+            )?,
             grants: counter(
                 "dotterellane_grants_total",
                 "Requests for tokens, by the leader's answer.",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -138,6 +138,7 @@
     state
         .peers
         .retain(|_, peer| now.since(peer.heard) < if peer.leaving { silence } else { PEER_EXPIRY });
+    state.set_fleet_position(&host.settings.host);
     let peers = if full {
         let addresses = state.peers.values().map(|peer| peer.address);
         addresses.sample(&mut rand::rng(), MAX_LISTED_PEERS)
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterellane_decisions::quarantine::{CrashSummary, UpstreamStart};
+use dotterellane_decisions::quarantine::{
+    CrashSummary, RequestIdentity, RequestSuspicion, UpstreamStart,
+};
 use dotterellane_decisions::run_times::{LateRequest, RunKind};
 use dotterellane_decisions::send_permits::SendPermit;
 use dotterellane_decisions::upstream_choice::{UpstreamCandidate, choose_upstream};
@@ -207,7 +209,8 @@
     if !ends_before_stop(&state, now, &kind, progress.deadline) {
         return Err(GatewayRefusal::leaving());
     }
-    if state.crashes.is_quarantined(now, &progress.identity) {
+    let suspicion = state.crashes.suspicion(now, &progress.identity);
+    if suspicion == RequestSuspicion::Quarantined {
         let summary = state.crashes.summary(now, &progress.identity);
         drop(state);
         log_quarantined(call, summary);
@@ -253,6 +256,7 @@
     if !state.crashes.try_start(now, &progress.identity, &start) {
         return Ok(Selection::Limited(PermitStep::Nothing));
     }
+    note_suspicion(host, &mut state, call, &progress.identity, suspicion);
     let in_flight = Some(InFlightGuard::new(host, progress.identity.clone(), start));
     let running_guard =
         RunningGuard::new(host, &mut state, name.clone(), call.head.model.clone(), kind);
@@ -293,6 +297,28 @@
     state.run_times.may_begin(now, stop, &request)
 }
 
+/// Counts a request that runs although something is held against it, and logs a trial.
+fn note_suspicion(
+    host: &Host,
+    state: &mut HostState,
+    call: &GatewayCall,
+    identity: &RequestIdentity,
+    suspicion: RequestSuspicion,
+) {
+    if suspicion == RequestSuspicion::Nothing {
+        return;
+    }
+    host.metrics.suspected_runs.with_label_values(&[suspicion.as_str()]).inc();
+    if suspicion == RequestSuspicion::OnTrial {
+        let summary = state.crashes.summary(host.now(), identity);
+        spdlog::warn!("request with a quarantined part runs on trial", kv: {
+            request = call.head.request_id.as_str(),
+            suspect = summary.suspect.to_string().as_str(),
+            crashes = summary.crashes,
+        });
+    }
+}
+
 fn log_quarantined(call: &GatewayCall, summary: CrashSummary) {
     spdlog::warn!("quarantined request refused", kv: {
         request = call.head.request_id.as_str(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use dotterellane_decisions::quarantine::CrashTracker;
+use dotterellane_decisions::quarantine::{CrashTracker, FleetPosition};
 use dotterellane_decisions::retry_limiter::{RetryLimiter, RetryLimits};
 use dotterellane_decisions::run_times::{RunKind, RunTicket, RunTimes, StopSpan};
 use dotterellane_decisions::store_clock::StoreClock;
@@ -376,6 +376,14 @@
         })
     }
 
+    /// Tells the quarantine where this host, `own`, stands among the live ones.
+    pub fn set_fleet_position(&mut self, own: &HostId) {
+        let live = || self.peers.iter().filter(|(_, peer)| !peer.leaving);
+        let rank = live().filter(|(name, _)| *name < own).count();
+        let hosts = live().count() + 1;
+        self.crashes.set_position(FleetPosition { rank, hosts });
+    }
+
     /// Returns this host's demand for models by service, and resets the arrival counts.
     pub fn take_demand(&mut self) -> Vec<(ServiceId, HostDemand)> {
         let mut demands: BTreeMap<ServiceId, HostDemand> = BTreeMap::new();
