Let the upstream that uses most response memory give way

Cause: buffered responses share 24 MiB and one may take 16.

Ruled out: more memory (the smallest hosts have 160 MiB, and responses without end use any), and a fixed part for each upstream, as a single long response may be sound where nobody else needs the room.

Change: when the shared memory is used up, the upstream whose responses use most of it gives way with its longest one, whose reading ends at once.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use dotterellane_units::ByteSize;
 use dotterellane_upstream::connect::connect_tcp;
 use dotterellane_upstream::head_limit::{HeadLimit, HeadLimited, SendCheck};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HOST};
@@ -18,21 +19,16 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::timeout;
 
+use crate::response_memory::ResponseMemory;
+
 /// Timeout for establishing a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Maximum size of a response that is buffered completely, in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
-/// Size up to which a buffered response does not count against the shared memory, in bytes.
-const FREE_RESPONSE_BYTES: usize = 64 << 10;
-
-/// Memory that all buffered responses together may use beyond their free part, in KiB.
-const SHARED_RESPONSE_KIBIBYTES: usize = 24 << 10;
-
 /// A call that failed without a usable response.
 #[derive(Clone, Debug)]
 #[derive(Error)]
@@ -156,49 +152,11 @@
     Ok(response)
 }
 
-/// The memory that buffered responses of all requests share.
-#[derive(Debug)]
-pub struct ResponseMemory {
-    kibibytes: Semaphore,
-}
-
-impl Default for ResponseMemory {
-    fn default() -> Self {
-        Self { kibibytes: Semaphore::new(SHARED_RESPONSE_KIBIBYTES) }
-    }
-}
-
-/// The part of the shared memory that one response uses; released on drop.
-struct MemoryReservation<'a> {
-    memory: &'a ResponseMemory,
-    held: Option<SemaphorePermit<'a>>,
-    kibibytes: usize,
-}
-
-impl MemoryReservation<'_> {
-    /// Grows the reservation to what a response of `bytes` needs; returns whether that much is
-    /// free.
-    fn grow(&mut self, bytes: usize) -> bool {
-        let wanted = bytes.saturating_sub(FREE_RESPONSE_BYTES).div_ceil(1 << 10);
-        let missing = wanted.saturating_sub(self.kibibytes);
-        let taken = u32::try_from(missing)
-            .ok()
-            .and_then(|missing| self.memory.kibibytes.try_acquire_many(missing).ok());
-        let Some(permit) = taken else { return false };
-        match &mut self.held {
-            Some(held) => held.merge(permit),
-            None => self.held = Some(permit),
-        }
-        self.kibibytes = self.kibibytes.max(wanted);
-        true
-    }
-}
-
 /// Reads the complete body of a response.
 ///
 /// # Errors
-/// Fails if the response breaks off, is too long, is encoded or does not end within `span`, or if
-/// other long responses use all of the shared memory.
+/// Fails if the response breaks off, is too long, is encoded or does not end within `span`, or if it
+/// has to give way as the shared memory is used up.
 pub async fn read_whole<B>(
     peer: SocketAddr,
     response: Response<B>,
@@ -213,29 +171,34 @@
     if head.headers.contains_key(CONTENT_ENCODING) {
         return Err(broken("unexpected content-encoding".to_owned()));
     }
-    let body = timeout(span, collect(body, memory))
+    let body = timeout(span, collect(peer, body, memory))
         .await
         .map_err(|_elapsed| broken(format!("no complete response within {span:?}")))?
         .map_err(broken)?;
     Ok((head.status, head.headers, body))
 }
 
-async fn collect<B>(mut body: B, memory: &ResponseMemory) -> Result<Bytes, String>
+async fn collect<B>(peer: SocketAddr, mut body: B, memory: &ResponseMemory) -> Result<Bytes, String>
 where
     B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
-    let mut reservation = MemoryReservation { memory, held: None, kibibytes: 0 };
+    let reservation = memory.open(peer);
     let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = reservation.revoked() => {
+                return Err(format!("out of shared memory after {} bytes", collected.len()));
+            }
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else { return Ok(collected.freeze()) };
         let data = frame.map_err(|error| error.to_string())?.into_data().unwrap_or_default();
         let length = collected.len() + data.len();
         if length > MAX_RESPONSE_BYTES {
             return Err(format!("longer than {MAX_RESPONSE_BYTES} bytes"));
         }
-        if !reservation.grow(length) {
-            return Err(format!("out of shared memory after {} bytes", collected.len()));
-        }
+        reservation.grow(ByteSize(length as u64));
         collected.extend_from_slice(&data);
     }
-    Ok(collected.freeze())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod questions;
 pub mod refusal;
 pub mod relay;
+pub mod response_memory;
 pub mod resumption;
 pub mod run;
 pub mod selection;
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dotterellane_gateway::exchange::{
-    Exchange, ExchangeError, ResponseMemory, exchange, open, read_whole,
-};
+use dotterellane_gateway::exchange::{Exchange, ExchangeError, exchange, open, read_whole};
+use dotterellane_gateway::response_memory::ResponseMemory;
 use googletest::prelude::*;
 use http::{HeaderMap, Method};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
