Give a missing row of the configuration its last known version

Each heartbeat of a leader with a later one would have had all others poll the store every 0.1 s for as long as the row is missing. No test counts the polls.

--- a/crates/gateway/src/configuration_row.rs
+++ b/crates/gateway/src/configuration_row.rs
@@ -34,7 +34,7 @@
 /// Newest known version of the configuration's row, whether or not it can be used.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ConfigurationRow {
-    /// Version of the row; that of the answer if the row was missing from it.
+    /// Version of the row; the last known one if the row is missing.
     pub version: RowVersion,
     /// Why this version is not in use; `None` if it is.
     pub fault: Option<RowFault>,
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -218,7 +218,11 @@
             // An answer from behind shows nothing about the newest version.
             _ if batch.version < host.state().configuration_row.version => {}
             Some(row) => adopt_version(&host, started, row.version, row.value.as_deref()),
-            None if is_snapshot => adopt_version(&host, started, batch.version, None),
+            None if is_snapshot => {
+                // Its last version, so that all hosts know the same one.
+                let version = host.state().configuration_row.version;
+                adopt_version(&host, started, version, None);
+            }
             None => {}
         }
         let mut state = host.state();
@@ -251,7 +255,7 @@
     host.metrics.configuration_unusable.set(fault.is_some().into());
     let cause = fault.as_ref().map(RowFault::to_string).unwrap_or_default();
     if state.configuration_row.note(version, fault) {
-        spdlog::error!("newest configuration cannot be used; the last one is used until it is too old", kv: {
+        spdlog::error!("newest configuration cannot be used", kv: {
             version = version.to_string().as_str(),
             cause = cause.as_str(),
             in_use = state.document_version.to_string().as_str(),
@@ -293,7 +297,8 @@
             return Ok(());
         }
         let row = &state.configuration_row;
-        if let Some(fault) = row.fault.as_ref().filter(|_| row.version == version) {
+        let is_known = |fault: &&RowFault| row.version == version && **fault != RowFault::Missing;
+        if let Some(fault) = row.fault.as_ref().filter(is_known) {
             return Err(fault.clone());
         }
     }
