Let streams for old callers share the memory of buffered responses

An operator's report: a machine kept all bytes that a faulty runner sent without end, ran out of memory, and ended with its other clients' requests. It could happen here: a stream for a caller of HTTP/1.0 is read whole before any of it is passed on, up to 16 MiB, and nothing bounded the sum over callers.

Ruled out: a lower bound for each, as whole streams of that length may be sound where nobody else needs the room.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 //! Connections are not reused, so that data which an upstream sends late or after its response
 //! cannot be taken for the response to another request.
 
+use std::fmt::Display;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -178,9 +179,18 @@
     Ok((head.status, head.headers, body))
 }
 
-async fn collect<B>(peer: SocketAddr, mut body: B, memory: &ResponseMemory) -> Result<Bytes, String>
+/// Reads a body completely, within [`MAX_RESPONSE_BYTES`] and what `memory` has left for a response
+/// of `peer`.
+///
+/// # Errors
+/// Fails if the body breaks off, is too long or has to give way; the error tells which.
+pub async fn collect<B>(
+    peer: SocketAddr,
+    mut body: B,
+    memory: &ResponseMemory,
+) -> Result<Bytes, String>
 where
-    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    B: Body<Data = Bytes, Error: Display> + Unpin,
 {
     let reservation = memory.open(peer);
     let mut collected = BytesMut::new();
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -1,5 +1,6 @@
 //! Handles one request of a caller: admission, charging the team, dispatch, and the response.
 
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use crate::call::{CallHead, ModelChoice};
 use crate::dispatch::{DispatchTrace, dispatch};
 use crate::document::{CallerLimits, HostRoute, KeyHolder};
-use crate::exchange::MAX_RESPONSE_BYTES;
+use crate::exchange::collect;
 use crate::refusal::GatewayRefusal;
 use crate::spending::charge;
 use crate::state::{Host, HostState};
@@ -128,7 +129,7 @@
     version: Version,
 ) -> Result<Response<GatewayBody>, GatewayRefusal> {
     let response = serve(host, call, admitted?).await?;
-    if version < Version::HTTP_11 { buffer_response(response).await } else { Ok(response) }
+    if version < Version::HTTP_11 { buffer_response(host, response).await } else { Ok(response) }
 }
 
 async fn read_body(body: Incoming, limits: CallerLimits) -> Result<Bytes, GatewayRefusal> {
@@ -146,12 +147,25 @@
 /// Reads a response completely before its caller gets any of it, for HTTP/1.0 callers: they cannot
 /// tell the end of a stream from a connection that broke off.
 async fn buffer_response(
+    host: &Host,
     response: Response<GatewayBody>,
 ) -> Result<Response<GatewayBody>, GatewayRefusal> {
+    if matches!(response.body(), GatewayBody::Whole(_)) {
+        return Ok(response);
+    }
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let body = body.map_err(|_broken| GatewayRefusal::upstream_failed("answer_broken"))?;
-    Ok(Response::from_parts(head, GatewayBody::whole(body.to_bytes())))
+    let trace = head.extensions.get::<DispatchTrace>();
+    let address = trace.and_then(|trace| {
+        host.state().directory.get(&trace.upstream).map(|known| known.entry.address)
+    });
+    // Responses of upstreams that have left count as those of one.
+    let peer = address.unwrap_or(SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)));
+    let body = collect(peer, body, &host.response_memory).await;
+    let body = body.map_err(|cause| {
+        spdlog::warn!("stream for an old caller broke off", kv: { cause = cause.as_str() });
+        GatewayRefusal::upstream_failed("answer_broken")
+    })?;
+    Ok(Response::from_parts(head, GatewayBody::whole(body)))
 }
 
 /// Asks the caller to close the connection after this response.
