--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -297,6 +297,7 @@
             return Ok(());
         }
         let row = &state.configuration_row;
+        // The same content was judged before, unless the row was missing meanwhile.
         let is_known = |fault: &&RowFault| row.version == version && **fault != RowFault::Missing;
         if let Some(fault) = row.fault.as_ref().filter(is_known) {
             return Err(fault.clone());
