--- a/crates/decisions/src/quarantine/group.rs
+++ b/crates/decisions/src/quarantine/group.rs
@@ -3,7 +3,7 @@
 //! A verdict must not keep out what could clear it. Of parts that were at the same crashes, one alone
 //! is guilty, so a request with only some of them either succeeds, which clears these, or crashes an
 //! upstream, which names them. A part whose crashes something else explains as well is tried now and
-//! then, by one request at a time over all hosts.
+//! then, by one request at a time at each host whose turn it is.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
