--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -103,6 +103,8 @@
     pub running: u32,
     /// Number of attempts up to the response.
     pub sends: u32,
+    /// Age of the configuration by which the request was last admitted.
+    pub configuration_age: Option<Duration>,
 }
 
 /// The outcome of one attempt.
@@ -143,6 +145,7 @@
                     candidates: selected.candidates,
                     running: selected.running,
                     sends: progress.sends,
+                    configuration_age: admission.configuration_age,
                 };
                 if head.status().is_success() && admission.route.kind.is_stream() {
                     let mut response =
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -71,6 +71,8 @@
     pub cost: TokenCount,
     /// Regions in which the request may run: those that its route and its team allow.
     pub regions: AllowedRegions,
+    /// Time since the configuration was confirmed as the newest; `None` if it never was.
+    pub configuration_age: Option<Duration>,
 }
 
 impl Admission {
@@ -116,6 +118,9 @@
         };
         (admitted, state.caller_limits())
     };
+    if let Ok(admission) = &admitted {
+        observe_age(&host, admission);
+    }
     call.caller.begin(admitted.as_ref().map_or(UNADMITTED_PRIORITY, Admission::priority));
     let reading = read_body(&call.caller, body, limits, admitted.is_ok());
     let read = tokio::select! {
@@ -258,6 +263,15 @@
     answered
 }
 
+/// Counts the age of the configuration by which a request was admitted.
+fn observe_age(host: &Host, admission: &Admission) {
+    let access = if admission.needs_key { "keyed" } else { "open" };
+    if let Some(age) = admission.configuration_age {
+        let ages = &host.metrics.configuration_age;
+        ages.with_label_values(&[access]).observe(age.as_secs_f64());
+    }
+}
+
 /// Checks a request against the newest configuration.
 ///
 /// # Errors
@@ -268,7 +282,8 @@
     state: &HostState,
     call: &GatewayCall,
 ) -> Result<Admission, GatewayRefusal> {
-    let fresh = state.is_fresh(host.now());
+    let now = host.now();
+    let fresh = state.is_fresh(now);
     let reason = match state.configuration_row.fault {
         Some(_) => "unusable_configuration",
         None => "stale_configuration",
@@ -291,6 +306,7 @@
         needs_key,
         cost: TokenCount(0),
         regions: route.regions.clone(),
+        configuration_age: state.document_age(now),
     };
     if needs_key {
         if !fresh {
@@ -360,14 +376,20 @@
         sends = trace.sends,
         after_ms = took.as_millis() as u64,
         configuration = revision,
+        configuration_age_ms = age_millis(trace.configuration_age),
     });
 }
 
+/// Returns an age in milliseconds for logs; -1 if it is unknown.
+fn age_millis(age: Option<Duration>) -> i64 {
+    age.and_then(|age| i64::try_from(age.as_millis()).ok()).unwrap_or(-1)
+}
+
 fn log_refusal(host: &Host, call: &GatewayCall, refusal: &GatewayRefusal, took: Duration) {
     let now = host.now();
     let state = host.state();
     let revision = state.document.as_ref().map_or(0, |document| document.revision);
-    let age = state.document_confirmed_at.map(|at| now.since(at).as_millis());
+    let age = state.document_age(now);
     drop(state);
     spdlog::info!("request refused", kv: {
         request = call.head.request_id.as_str(),
@@ -376,7 +398,7 @@
         model = model_text(call.head.model.as_ref()).as_str(),
         after_ms = took.as_millis() as u64,
         configuration = revision,
-        configuration_age_ms = age.map_or(-1, |age| age as i64),
+        configuration_age_ms = age_millis(age),
     });
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of one daemon.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -46,6 +46,9 @@
     pub first_byte: Histogram,
     /// Time that requests waited for a runner to load their model, in seconds.
     pub model_wait: Histogram,
+    /// Age of the configuration by which requests were admitted, in seconds, by whether their route
+    /// needs a key.
+    pub configuration_age: HistogramVec,
     /// Era of the store's last answer.
     pub store_era: IntGauge,
     /// Whether the newest version of the configuration cannot be used: 1 or 0.
@@ -84,6 +87,15 @@
             registry.register(Box::new(histogram.clone()))?;
             prometheus::Result::Ok(histogram)
         };
+        let configuration_age = HistogramVec::new(
+            HistogramOpts::new(
+                "dotterellane_configuration_age_seconds",
+                "Age of the configuration by which requests were admitted.",
+            )
+            .buckets(LATENCY_BOUNDS.to_vec()),
+            &["access"],
+        )?;
+        registry.register(Box::new(configuration_age.clone()))?;
         let by_domain = |name: &str, help: &str| {
             let gauge = IntGaugeVec::new(Opts::new(name, help), &["domain"])?;
             registry.register(Box::new(gauge.clone()))?;
@@ -198,6 +210,7 @@
                 "dotterellane_model_wait_seconds",
                 "Time that requests waited for a runner to load their model.",
             )?,
+            configuration_age,
             store_era,
             configuration_unusable,
             configuration_faults,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use dotterellane_decisions::allowed_regions::AllowedRegions;
 use dotterellane_decisions::heartbeat_pace::HeartbeatPace;
@@ -349,6 +350,12 @@
         self.document.is_some() && self.document_confirmed_at.is_some_and(in_time)
     }
 
+    /// Returns the time since the configuration was last confirmed as the newest; `None` if it never
+    /// was.
+    pub fn document_age(&self, now: ClockInstant) -> Option<Duration> {
+        self.document_confirmed_at.map(|seen| now.since(seen))
+    }
+
     /// Returns the limits on requests and connections of callers.
     pub fn caller_limits(&self) -> CallerLimits {
         self.document.as_ref().map(|document| document.limits).unwrap_or_default()
