Refuse requests on open routes by a configuration that must no longer be in force

Cause: freshness was asked for only where a request needs a key. An open route was served by any document, however old, also where heartbeats named a newer revision; so was every route of a deployment without teams. All routes that changes add or remove on the users' deployments are open to all. Change: decisions/configuration_evidence decides. A newer configuration that is known has its bound to come into force; without one, the store or the leader must have shown within the bound which is the newest, unless the store fails: then nothing can be read, and open routes are served on.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod allowed_regions;
 pub mod cold_start;
 pub mod cold_upstreams;
+pub mod configuration_evidence;
 pub mod dispatch;
 pub mod domain_spill;
 pub mod ejection;
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -213,6 +213,7 @@
             follower.wait_until_due(&host, &host.configuration_wanted, due).await;
         }
         let Some(FeedPoll { started, batch, is_snapshot }) = follower.poll(&host).await else {
+            host.state().configuration_fails = follower.failing;
             continue;
         };
         evacuations::adopt_batch(&host, &batch, is_snapshot);
@@ -229,6 +230,10 @@
             None => {}
         }
         let mut state = host.state();
+        state.configuration_fails = false;
+        if state.configuration_row.version <= batch.version {
+            state.configuration_shown_at = state.configuration_shown_at.max(Some(started));
+        }
         if state.uses_restored_document() {
             if state.document_confirmed_at.take().is_some() {
                 spdlog::warn!("configuration comes from an older copy; a host used a newer one", kv: {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -308,10 +308,11 @@
         regions: route.regions.clone(),
         configuration_age: state.document_age(now),
     };
+    let may_be_served = if needs_key { fresh } else { state.may_serve_open(now) };
+    if !may_be_served {
+        return Err(stale());
+    }
     if needs_key {
-        if !fresh {
-            return Err(stale());
-        }
         let key = call.head.key.as_deref();
         let team = match key.map_or(KeyHolder::Nobody, |key| document.find_holder(key)) {
             KeyHolder::Team(team) => team,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dotterellane_decisions::allowed_regions::AllowedRegions;
+use dotterellane_decisions::configuration_evidence::ConfigurationEvidence;
 use dotterellane_decisions::heartbeat_pace::HeartbeatPace;
 use dotterellane_decisions::memory_budget::BudgetBounds;
 use dotterellane_decisions::quarantine::{CrashTracker, FleetPosition};
@@ -30,7 +31,7 @@
 
 use crate::call::{ModelChoice, WireFormat};
 use crate::caller_memory::CallerMemory;
-use crate::configuration_row::ConfigurationRow;
+use crate::configuration_row::{ConfigurationRow, RowFault};
 use crate::directory::Directory;
 use crate::document::{CallKind, CallerLimits, RoutingDocument};
 use crate::leader::SharedLeadership;
@@ -114,6 +115,11 @@
     /// When this configuration was last confirmed as the newest, by the store itself or by the
     /// leader.
     pub document_confirmed_at: Option<ClockInstant>,
+    /// When the store or the leader last showed which configuration is the newest, whether or not
+    /// it can be used.
+    pub configuration_shown_at: Option<ClockInstant>,
+    /// Whether the last attempt to read the configuration from the store failed.
+    pub configuration_fails: bool,
     /// When the known directory was last confirmed as current, by the store itself or by the
     /// leader.
     pub directory_confirmed_at: Option<ClockInstant>,
@@ -252,6 +258,8 @@
             configuration_row: ConfigurationRow::default(),
             newest_configuration: ConfigurationMark::default(),
             document_confirmed_at: None,
+            configuration_shown_at: None,
+            configuration_fails: false,
             directory_confirmed_at: None,
             store_failed_at: None,
             store_era: None,
@@ -356,6 +364,21 @@
         self.document_confirmed_at.map(|seen| now.since(seen))
     }
 
+    /// Returns whether requests on routes that are open to all may be handled by the configuration in
+    /// use.
+    pub fn may_serve_open(&self, now: ClockInstant) -> bool {
+        let in_use = self.document.as_ref().map(|document| document.revision);
+        let is_unreadable = matches!(self.configuration_row.fault, Some(RowFault::Unreadable(_)));
+        let shown = self.configuration_shown_at.max(self.document_confirmed_at);
+        let evidence = ConfigurationEvidence {
+            confirmed: self.document_age(now),
+            shown: shown.map(|at| now.since(at)),
+            knows_newer: is_unreadable || in_use < Some(self.newest_configuration.revision),
+            store_fails: self.configuration_fails,
+        };
+        evidence.allows_open(self.tuning.change_bound)
+    }
+
     /// Returns the limits on requests and connections of callers.
     pub fn caller_limits(&self) -> CallerLimits {
         self.document.as_ref().map(|document| document.limits).unwrap_or_default()
