Resume streams only at services that the newest configuration leads to

Nothing else reaches a service of weight 0 unless all are. HostRoute::leads_to now says where requests of a route may go. stream_is_not_resumed_at_a_service_whose_weight_is_zero failed before (200 from the old service) and passes now; the 32 tests of software versions pass.

--- a/crates/gateway/src/document.rs
+++ b/crates/gateway/src/document.rs
@@ -107,6 +107,16 @@
         !self.targets.is_empty()
     }
 
+    /// Returns whether requests of the route may go to `service`. One whose weight is 0 gets none,
+    /// unless all are: then the first one gets all.
+    pub fn leads_to(&self, service: &ServiceId) -> bool {
+        let mut weighted = self.targets.iter().filter(|(_, weight)| *weight > 0).peekable();
+        if weighted.peek().is_none() {
+            return self.targets.first().is_some_and(|(first, _)| first == service);
+        }
+        weighted.any(|(target, _)| target == service)
+    }
+
     /// Returns how long callers are expected to wait for the first or next event of a stream; the
     /// full timeout for responses that are not streams.
     pub fn idle_timeout(&self) -> Duration {
--- a/crates/gateway/src/stream_versions/mod.rs
+++ b/crates/gateway/src/stream_versions/mod.rs
@@ -81,8 +81,7 @@
     }
     let StreamOrigin { service, version } =
         origins::find_origin(host, call, admission, digest).await?;
-    let may_go_there = admission.route.targets.iter().any(|(target, _)| *target == service);
-    if !may_go_there {
+    if !admission.route.leads_to(&service) {
         return Err(GatewayRefusal::fixed(REFUSED, "stream_service_not_allowed"));
     }
     if host.state().versions.is_gone(host.now(), &service, &version) {
