Send requests that have not run to the service of the newest configuration

A request that waited for an upstream, room or a permit, or was tried again, asked the old service until its deadline. Each selection and the check before the first byte now ask whether the route leads there; a request that has not run, or may run twice, is moved, and its first attempt at the new service is no retry there. A stream that runs ends where it began, and a resumption whose service was moved is refused as not run. request_that_waits_goes_to_the_service_of_the_newest_configuration failed before (503 no_place_soon after 2.4 s) and passes now.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -32,7 +32,9 @@
 use crate::permits::{SendTarget, is_permitted, open};
 use crate::refusal::GatewayRefusal;
 use crate::relay::start_relay;
-use crate::selection::{SelectedUpstream, ends_before_stop, id_hash, run_kind, select_upstream};
+use crate::selection::{
+    SelectedUpstream, SelectionFailure, ends_before_stop, id_hash, run_kind, select_upstream,
+};
 use crate::state::{GatewayRunKind, Host, RetryReservation};
 use crate::stream_versions::{AllowedVersions, StreamStart, origins, start_stream};
 
@@ -135,7 +137,14 @@
     loop {
         let selected = match select_upstream(host, call, &mut admission, &progress).await {
             Ok(selected) => selected,
-            Err(refusal) => return fallback.ok_or_else(|| progress.adjust_refusal(refusal)),
+            Err(SelectionFailure::ServiceMoved) if progress.may_move() => {
+                progress.move_service(host, call, &admission);
+                continue;
+            }
+            Err(failure) => {
+                let refusal = failure.into_refusal();
+                return fallback.ok_or_else(|| progress.adjust_refusal(refusal));
+            }
         };
         match send(host, call, &admission, &mut progress, selected).await {
             SendOutcome::Head(selected, head) => {
@@ -193,18 +202,10 @@
     admission: &Admission,
     start: StreamStart,
 ) -> RequestProgress {
-    let now = host.now();
     let longest = admission.route.timeout;
     let timeout = call.head.timeout.map_or(longest, |timeout| timeout.min(longest));
     let service = start.service.unwrap_or_else(|| pick_service(call, admission));
-    let identity = identity_of(admission.team.as_ref().map(|(team, _)| team), &service, call);
-    let mut state = host.state();
-    let limits = host.retry_limits(&state);
-    state.retries.entry(service.clone()).or_default().note_request(now, &limits);
-    if let Some(choice) = &call.head.model {
-        *state.arrivals.entry((service.clone(), choice.clone())).or_default() += 1;
-    }
-    drop(state);
+    let identity = note_arrival(host, call, admission, &service);
     RequestProgress {
         deadline: call.arrived + timeout,
         service,
@@ -215,11 +216,28 @@
         last_event: call.head.last_event.clone(),
         allowed: start.allowed,
         stream: start.digest,
-        identity: Arc::new(identity),
+        identity,
         retry: None,
     }
 }
 
+/// Counts a request for `service`; returns what of it may crash upstreams of that service.
+fn note_arrival(
+    host: &Host,
+    call: &GatewayCall,
+    admission: &Admission,
+    service: &ServiceId,
+) -> Arc<RequestIdentity> {
+    let mut state = host.state();
+    let limits = host.retry_limits(&state);
+    state.retries.entry(service.clone()).or_default().note_request(host.now(), &limits);
+    if let Some(choice) = &call.head.model {
+        *state.arrivals.entry((service.clone(), choice.clone())).or_default() += 1;
+    }
+    let team = admission.team.as_ref().map(|(team, _)| team);
+    Arc::new(identity_of(team, service, call))
+}
+
 /// Picks a service of the route by the weights and the request id, of a resumed stream the one that
 /// began it, so that repetitions of a request go to the same service.
 pub fn pick_service(call: &GatewayCall, admission: &Admission) -> ServiceId {
@@ -251,6 +269,26 @@
         silent.is_some_and(|silent| silent.upstream == *upstream)
     }
 
+    /// Returns whether the request must follow the route to another service. A stream that runs ends
+    /// where it began.
+    pub fn follows_route(&self, admission: &Admission) -> bool {
+        self.runs == 0 || admission.route.kind == CallKind::Repeatable
+    }
+
+    /// Returns whether another service can take the request: it resumes no stream.
+    fn may_move(&self) -> bool {
+        !matches!(self.allowed, AllowedVersions::Begun(_))
+    }
+
+    /// Moves the request to the service to which the newest configuration leads.
+    fn move_service(&mut self, host: &Host, call: &GatewayCall, admission: &Admission) {
+        self.service = pick_service(call, admission);
+        self.identity = note_arrival(host, call, admission, &self.service);
+        self.tried.clear();
+        // The first attempt at a service is no retry there.
+        self.retry = None;
+    }
+
     /// Reserves a retry of a request that may have run already. Returns whether the route, the
     /// deadline and the retry budget allow it.
     pub fn try_reserve_rerun(&mut self, host: &Arc<Host>, admission: &Admission) -> bool {
@@ -404,8 +442,8 @@
     let may_send = {
         let (host, call, name) = (host.clone(), call.clone(), selected.name.clone());
         let kind = run_kind(&call, admission, &progress.service);
-        let deadline = progress.deadline;
-        move || may_still_send(&host, &call, &name, &kind, deadline)
+        let (deadline, follows) = (progress.deadline, progress.follows_route(admission));
+        move || may_still_send(&host, &call, &name, &kind, deadline, follows)
     };
     let target = SendTarget {
         upstream: selected.name.clone(),
@@ -467,14 +505,16 @@
     });
 }
 
-/// Returns whether the upstream may still get the request, the configuration still allows it, and
-/// it ends in time if this process is stopping.
+/// Returns whether the upstream may still get the request, the configuration still allows it and, if
+/// the request `follows` its route, leads to that service, and whether it ends in time if this
+/// process is stopping.
 fn may_still_send(
     host: &Host,
     call: &GatewayCall,
     upstream: &UpstreamId,
     kind: &GatewayRunKind,
     deadline: ClockInstant,
+    follows: bool,
 ) -> bool {
     let state = host.state();
     let now = host.now();
@@ -482,7 +522,9 @@
         state.directory.get(upstream).is_some_and(|known| state.directory.is_in(known, regions))
     };
     state.directory.may_get(now, upstream)
-        && admit(host, &state, call).is_ok_and(|admission| is_in(&admission.regions))
+        && admit(host, &state, call).is_ok_and(|admission| {
+            is_in(&admission.regions) && (!follows || admission.route.leads_to(&kind.group.0))
+        })
         && ends_before_stop(&state, now, kind, deadline)
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -584,8 +584,8 @@
             let selected = select_upstream(&host, &call, &mut self.admission, &self.progress).await;
             let selected = match selected {
                 Ok(selected) => selected,
-                Err(refusal) => {
-                    self.log_break("", framer, refusal.reason);
+                Err(failure) => {
+                    self.log_break("", framer, failure.into_refusal().reason);
                     return None;
                 }
             };
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -38,6 +38,9 @@
 /// this time that an evacuation was taken back, or that an upstream can be reached again.
 const DISPLACED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// `retry-after` of a request whose service was moved: the next one goes to the new service.
+const MOVED_RETRY_AFTER: Duration = Duration::ZERO;
+
 /// Fraction of the idle timeout for which a request waits until a runner holds its model.
 const MAX_WAIT_FRACTION: f64 = 0.6;
 
@@ -83,6 +86,31 @@
     Limited(PermitStep),
 }
 
+/// Why no upstream was selected for a request.
+#[derive(Debug)]
+pub enum SelectionFailure {
+    /// The configuration no longer leads to the service that was picked for the request.
+    ServiceMoved,
+    /// The request is refused.
+    Refused(GatewayRefusal),
+}
+
+impl From<GatewayRefusal> for SelectionFailure {
+    fn from(refusal: GatewayRefusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl SelectionFailure {
+    /// Returns the refusal of a request that is not tried again.
+    pub fn into_refusal(self) -> GatewayRefusal {
+        match self {
+            Self::ServiceMoved => GatewayRefusal::not_run("service_moved", MOVED_RETRY_AFTER),
+            Self::Refused(refusal) => refusal,
+        }
+    }
+}
+
 /// Selects an upstream that can run the request now; waits for one if there is none, unless an
 /// upstream is at work on the request already.
 ///
@@ -93,7 +121,7 @@
     call: &Arc<GatewayCall>,
     admission: &mut Admission,
     progress: &RequestProgress,
-) -> Result<SelectedUpstream, GatewayRefusal> {
+) -> Result<SelectedUpstream, SelectionFailure> {
     let mut waiting: Option<WaitingGuard> = None;
     let mut has_waited = false;
     let started = host.now();
@@ -115,7 +143,7 @@
                 Some(_) => "no_runner_holds_model",
                 None => "no_upstream",
             };
-            return Err(GatewayRefusal::not_run(reason, NO_UPSTREAM_RETRY_AFTER));
+            return Err(GatewayRefusal::not_run(reason, NO_UPSTREAM_RETRY_AFTER).into());
         };
         let selection = try_select(host, call, admission, progress, &search, &room)?;
         let is_full = matches!(selection, Selection::Full(_));
@@ -134,11 +162,11 @@
             }
             Selection::Limited(PermitStep::TooLate(slot)) => {
                 if let Some(wait) = wait_past(host, call, admission, progress, latest, slot) {
-                    return Err(GatewayRefusal::not_run("upstreams_at_rate_limit", wait));
+                    return Err(GatewayRefusal::not_run("upstreams_at_rate_limit", wait).into());
                 }
             }
             Selection::Full(RoomShortage::TooLarge) => {
-                return Err(GatewayRefusal::not_run("too_large", NO_UPSTREAM_RETRY_AFTER));
+                return Err(GatewayRefusal::not_run("too_large", NO_UPSTREAM_RETRY_AFTER).into());
             }
             Selection::Full(_) if room_wait.is_none() => room_wait = Some(RoomWaiter::new(host)),
             Selection::Full(_) | Selection::Limited(PermitStep::Wait | PermitStep::Nothing) => {}
@@ -146,19 +174,19 @@
         room.has_waited = true;
         let stop = host.state().stop;
         if stop.is_some_and(|stop| host.now().since(stop.requested) > SHUTDOWN_WAIT) {
-            return Err(GatewayRefusal::leaving());
+            return Err(GatewayRefusal::leaving().into());
         }
         let displacement =
             host.state().directory.displacement(host.now(), &progress.service, &admission.regions);
         if let Some(reason) = displacement {
-            return Err(GatewayRefusal::not_run(reason, DISPLACED_RETRY_AFTER));
+            return Err(GatewayRefusal::not_run(reason, DISPLACED_RETRY_AFTER).into());
         }
         if let Some(pause) = pause_past(host, call, admission, progress, latest) {
-            return Err(GatewayRefusal::not_run("upstreams_want_a_pause", pause));
+            return Err(GatewayRefusal::not_run("upstreams_want_a_pause", pause).into());
         }
         if host.now() > latest && search.slot_in(host.now()).is_none() {
             let reason = if is_full { "upstreams_full" } else { "no_place_soon" };
-            return Err(GatewayRefusal::not_run(reason, NO_UPSTREAM_RETRY_AFTER));
+            return Err(GatewayRefusal::not_run(reason, NO_UPSTREAM_RETRY_AFTER).into());
         }
         if let Some(choice) = &call.head.model
             && waiting.as_ref().is_none_or(|guard| guard.regions() != &admission.regions)
@@ -232,21 +260,25 @@
     progress: &RequestProgress,
     search: &PermitSearch,
     room: &RoomRequest,
-) -> Result<Selection, GatewayRefusal> {
+) -> Result<Selection, SelectionFailure> {
     let now = host.now();
     let mut state = host.state();
     // The configuration may have changed or become stale while the request waited.
     *admission = admit(host, &state, call)?;
+    if progress.follows_route(admission) && !admission.route.leads_to(&progress.service) {
+        return Err(SelectionFailure::ServiceMoved);
+    }
     let kind = run_kind(call, admission, &progress.service);
     if !ends_before_stop(&state, now, &kind, progress.deadline) {
-        return Err(GatewayRefusal::leaving());
+        return Err(GatewayRefusal::leaving().into());
     }
     let suspicion = state.crashes.suspicion(now, &progress.identity);
     if suspicion == RequestSuspicion::Quarantined {
         let summary = state.crashes.summary(now, &progress.identity);
         drop(state);
         log_quarantined(call, summary);
-        return Err(GatewayRefusal::fixed(StatusCode::SERVICE_UNAVAILABLE, "crashes_upstreams"));
+        let refusal = GatewayRefusal::fixed(StatusCode::SERVICE_UNAVAILABLE, "crashes_upstreams");
+        return Err(refusal.into());
     }
     let candidates =
         collect_candidates(host, &state, now, call, progress, &admission.regions, room);
