--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,10 @@
     pub responses: IntCounterVec,
     /// Attempts to send requests to upstreams, by outcome.
     pub sends: IntCounterVec,
+    /// Retries, by service and by whether they were sent or refused for want of budget.
+    pub retries: IntCounterVec,
+    /// Number of hosts by which the fleet's budget of retries is divided.
+    pub retry_hosts: IntGauge,
     /// Upstreams selected for requests, by whether they are in this host's failure domain.
     pub selections: IntCounterVec,
     /// Responses that broke off, by the result of probing their upstream with a new connection.
@@ -121,6 +125,11 @@
             "Whether the newest version of the configuration cannot be used.",
         )?;
         registry.register(Box::new(configuration_unusable.clone()))?;
+        let retry_hosts = IntGauge::new(
+            "dotterellane_retry_hosts",
+            "Number of hosts by which the fleet's budget of retries is divided.",
+        )?;
+        registry.register(Box::new(retry_hosts.clone()))?;
         let configuration_faults = IntGauge::new(
             "dotterellane_configuration_faults",
             "Number of fields of the configuration in use that cannot be read.",
@@ -137,6 +146,12 @@
                 "Attempts to send requests to upstreams.",
                 &["outcome"],
             )?,
+            retries: counter(
+                "dotterellane_retries_total",
+                "Retries, sent or refused for want of budget.",
+                &["service", "outcome"],
+            )?,
+            retry_hosts,
             selections: counter(
                 "dotterellane_selections_total",
                 "Upstreams selected for requests, in this host's failure domain or another.",
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -345,6 +345,7 @@
     /// Returns this host's share of the fleet's retry limits.
     pub fn retry_limits(&self, state: &HostState) -> RetryLimits {
         let hosts = state.peers.len() + 1;
+        self.metrics.retry_hosts.set(i64::try_from(hosts).unwrap_or(i64::MAX));
         #[expect(clippy::cast_precision_loss, reason = "hosts are few")]
         let slack = state.tuning.retry_slack / hosts as f64;
         RetryLimits { ratio: state.tuning.retry_ratio, slack, window: state.tuning.retry_window }
@@ -623,12 +624,16 @@
         let limits = host.retry_limits(&state);
         let budget = state.retries.entry(service.clone()).or_default();
         let reserved = budget.reserve(host.now(), &limits);
+        if !reserved {
+            host.metrics.retries.with_label_values(&[service.as_str(), "refused"]).inc();
+        }
         reserved.then(|| Self { host: host.clone(), service: service.clone(), spent: false })
     }
 
     /// Records that the retry is sent now.
     pub fn spend(mut self) {
         self.spent = true;
+        self.host.metrics.retries.with_label_values(&[self.service.as_str(), "sent"]).inc();
         let now = self.host.now();
         self.host.state().retries.entry(self.service.clone()).or_default().spend(now);
     }
