Divide the budget of retries by the hosts that there are, not by those heard

Cause: a host took the fleet's slack divided by the hosts that it hears. One that has just started hears nobody and took all of it, one that starts cut off kept it. Change: decisions/fleet_size remembers the largest number of hosts of the last ten minutes: those heard, those listed in the store, and the number that each heartbeat states of the sender's own observations. A host that knows of none has its ratio alone.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ejection;
 pub mod evacuations;
 pub mod fairness;
+pub mod fleet_size;
 pub mod freshness;
 pub mod gossip;
 pub mod heartbeat_pace;
--- a/crates/decisions/src/retry_limiter.rs
+++ b/crates/decisions/src/retry_limiter.rs
@@ -13,12 +13,22 @@
 pub struct RetryLimits {
     /// Retries that each request in the window allows.
     pub ratio: f64,
-    /// Retries that this host may send in a window beside those.
+    /// Retries that may be sent in a window beside those.
     pub slack: f64,
     /// Length of the sliding window.
     pub window: Duration,
 }
 
+impl RetryLimits {
+    /// Returns the part of one host in these limits of a fleet of `hosts`. One that does not know the
+    /// fleet keeps to the ratio of its own requests.
+    #[expect(clippy::cast_precision_loss, reason = "hosts are few")]
+    pub fn part(&self, hosts: Option<usize>) -> Self {
+        let slack = hosts.map_or(0.0, |hosts| self.slack / hosts as f64);
+        Self { slack, ..*self }
+    }
+}
+
 /// Requests to one service and their retries within a sliding window.
 #[derive(Clone, Debug, Default)]
 pub struct RetryLimiter {
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -182,6 +182,8 @@
     pub configuration: ConfigurationMark,
     /// CPU capacity of the host, in thousandths of a core.
     pub processor: u32,
+    /// Number of hosts, itself included, that the host observed of late; 0 if it does not know.
+    pub hosts: u32,
     /// Tokens that the host charged, by team.
     pub spending: SpendingReport,
     /// Its requests in flight, by upstream.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -153,6 +153,10 @@
     state.sweep_room(now);
     state.paces.sweep(now);
     state.set_fleet_position(&host.settings.host);
+    if !state.peers.is_empty() {
+        let known = state.peers.len() + 1;
+        state.fleet_size.note_observed(now, known);
+    }
     let peers = if full {
         let addresses = state.peers.values().map(|peer| peer.address);
         addresses.sample(&mut rand::rng(), MAX_LISTED_PEERS)
@@ -165,6 +169,7 @@
         fresh: state.is_fresh(now) && state.reaches_store(),
         configuration: state.newest_configuration,
         processor: host.settings.processor,
+        hosts: u32::try_from(state.fleet_size.observed(now)).unwrap_or(0),
         spending: state.buckets.report(now, full),
         running: state.room.report(),
         paces: Vec::new(),
@@ -263,6 +268,7 @@
 ) {
     let now = host.now();
     let mut state = host.state();
+    state.fleet_size.note_stated(now, usize::try_from(heartbeat.hosts).unwrap_or(0));
     state.buckets.absorb(now, from, incarnation, &heartbeat.spending, heartbeat.leaving);
     if heartbeat.configuration.revision > state.newest_configuration.revision {
         state.note_revision(heartbeat.configuration);
@@ -368,6 +374,7 @@
                 let addresses = rows.iter().filter_map(read_host_row);
                 let addresses: Vec<SocketAddr> =
                     addresses.filter(|known| *known != host.settings.peers).collect();
+                host.state().fleet_size.note_observed(host.now(), addresses.len() + 1);
                 // Complete, as an empty one reads as if this host had nothing in flight and no lease.
                 let greeting = build_heartbeat(&host, true);
                 send_to(&host, &PeerMessage::Heartbeat(greeting), &addresses);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 
 use dotterellane_decisions::allowed_regions::AllowedRegions;
 use dotterellane_decisions::configuration_evidence::ConfigurationEvidence;
+use dotterellane_decisions::fleet_size::FleetSize;
 use dotterellane_decisions::heartbeat_pace::HeartbeatPace;
 use dotterellane_decisions::memory_budget::BudgetBounds;
 use dotterellane_decisions::quarantine::{CrashTracker, FleetPosition};
@@ -153,6 +154,8 @@
     pub waiting: Slab<WaitingRequest>,
     /// Number of requests since the last demand report, by service and model.
     pub arrivals: BTreeMap<(ServiceId, ModelChoice), u32>,
+    /// Number of hosts in the fleet.
+    pub fleet_size: FleetSize,
     /// Other daemons, by host.
     pub peers: BTreeMap<HostId, KnownPeer>,
     /// The leader; `None` while none is known.
@@ -276,6 +279,7 @@
             room_waiters: 0,
             waiting: Slab::new(),
             arrivals: BTreeMap::new(),
+            fleet_size: FleetSize::default(),
             peers: BTreeMap::new(),
             leader: None,
             leader_resigned_at: None,
@@ -344,11 +348,13 @@
 
     /// Returns this host's share of the fleet's retry limits.
     pub fn retry_limits(&self, state: &HostState) -> RetryLimits {
-        let hosts = state.peers.len() + 1;
-        self.metrics.retry_hosts.set(i64::try_from(hosts).unwrap_or(i64::MAX));
-        #[expect(clippy::cast_precision_loss, reason = "hosts are few")]
-        let slack = state.tuning.retry_slack / hosts as f64;
-        RetryLimits { ratio: state.tuning.retry_ratio, slack, window: state.tuning.retry_window }
+        let now = self.now();
+        let hosts = state.fleet_size.hosts(now);
+        let shown = hosts.and_then(|hosts| i64::try_from(hosts).ok()).unwrap_or(0);
+        self.metrics.retry_hosts.set(shown);
+        let HostTuning { retry_ratio: ratio, retry_slack: slack, retry_window: window, .. } =
+            state.tuning;
+        RetryLimits { ratio, slack, window }.part(hosts)
     }
 }
 
