Give a host no part of the slack of retries for a window after its start

It has none now until a window has passed, unless the whole fleet starts for the first time; the ratio of its own requests holds from the start.

--- a/crates/decisions/tests/retry_fleet.rs
+++ b/crates/decisions/tests/retry_fleet.rs
@@ -36,6 +36,7 @@
 struct SimulatedHost {
     limiter: RetryLimiter,
     size: FleetSize,
+    started: u64,
     /// When each host was last heard.
     heard: Vec<Option<u64>>,
     /// Hosts hear only those of their own side.
@@ -54,11 +55,12 @@
         }
         let heard = vec![None; hosts];
         let (limiter, waiting) = (RetryLimiter::default(), VecDeque::new());
-        Self { limiter, size, heard, side: 0, away_until: 0, waiting }
+        Self { limiter, size, started, heard, side: 0, away_until: 0, waiting }
     }
 
     fn limits(&self, step: u64) -> RetryLimits {
-        FLEET.part(self.size.hosts(instant(step)))
+        let running = instant(step).since(instant(self.started));
+        FLEET.part(self.size.hosts(instant(step)), running < FLEET.window)
     }
 
     /// Handles one request whose retries wait for up to a second each. Returns nothing: what is sent
@@ -96,6 +98,8 @@
     cut_off: f64,
     /// Fraction of the hosts that stands still for a while.
     frozen: f64,
+    /// Whether hosts that start cannot read which hosts there are.
+    no_list: bool,
 }
 
 /// Plays a day on which callers repeat at an outage of all upstreams; returns by how many retries the
@@ -110,7 +114,7 @@
             for host in &mut fleet {
                 if random.random_bool(troubles.killed) {
                     let side = host.side;
-                    *host = SimulatedHost::new(hosts, step + 10, true);
+                    *host = SimulatedHost::new(hosts, step + 10, !troubles.no_list);
                     (host.side, host.away_until) = (side, step + 10);
                 }
             }
@@ -195,17 +199,25 @@
     }
 }
 
-const CALM: Troubles = Troubles { killed: 0.0, cut_off: 0.0, frozen: 0.0 };
+const CALM: Troubles = Troubles { killed: 0.0, cut_off: 0.0, frozen: 0.0, no_list: false };
 
 #[gtest]
 fn fleet_keeps_to_its_budget_while_all_hosts_run() {
     expect_within_budget(CALM);
 }
 
+// Guards against spending that restarts forget.
+#[gtest]
+fn fleet_keeps_to_its_budget_while_most_hosts_restart_three_times() {
+    expect_within_budget(Troubles { killed: 0.6, ..CALM });
+    expect_within_budget(Troubles { killed: 1.0, ..CALM });
+}
+
 // Guards against hosts that hear nobody and take the whole slack for their own.
 #[gtest]
 fn fleet_keeps_to_its_budget_while_hosts_that_start_are_cut_off() {
-    expect_within_budget(Troubles { cut_off: 0.7, ..CALM });
+    expect_within_budget(Troubles { killed: 0.6, cut_off: 0.7, ..CALM });
+    expect_within_budget(Troubles { killed: 1.0, cut_off: 0.7, no_list: true, ..CALM });
 }
 
 #[gtest]
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -182,6 +182,8 @@
     pub settings: HostSettings,
     /// Incarnation of this daemon.
     pub incarnation: HostIncarnation,
+    /// When this daemon started.
+    pub started: ClockInstant,
     /// Translations to and from the platform's wire format.
     pub wire: WireFormat,
     /// Services of the platform.
@@ -306,6 +308,7 @@
             caller_memory: Arc::new(caller_memory),
             settings,
             incarnation,
+            started: clock.now(),
             wire,
             platform,
             clock,
@@ -354,7 +357,8 @@
         self.metrics.retry_hosts.set(shown);
         let HostTuning { retry_ratio: ratio, retry_slack: slack, retry_window: window, .. } =
             state.tuning;
-        RetryLimits { ratio, slack, window }.part(hosts)
+        let restarted = !self.settings.first_start && now.since(self.started) < window;
+        RetryLimits { ratio, slack, window }.part(hosts, restarted)
     }
 }
 
