--- a/crates/standins/src/site/link.rs
+++ b/crates/standins/src/site/link.rs
@@ -5,14 +5,20 @@
 
 use rustix::net::sockopt::set_socket_linger;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// Size of the forwarding buffer, in bytes.
 const BUFFER_BYTES: usize = 16 << 10;
 
+/// Connections that wait at a silent link until further ones hang.
+const SILENT_BACKLOG: u32 = 1;
+
+/// Time for a connection that fills the queue of a silent link.
+const FILLER_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// How a link treats its connections.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum LinkMode {
@@ -27,6 +33,17 @@
     OneWay,
     /// Resets all connections, including new ones.
     Reset,
+    /// Refuses new connections; open ones go on.
+    Refused,
+    /// Does not answer new connections, which hang; holds back both directions of open ones.
+    Silent,
+}
+
+impl LinkMode {
+    /// Returns whether new connections are not accepted.
+    fn is_deaf(self) -> bool {
+        matches!(self, Self::Refused | Self::Silent)
+    }
 }
 
 /// A proxy for one target address; it stops when dropped.
@@ -65,8 +82,26 @@
     mode: watch::Receiver<LinkMode>,
     stop: CancellationToken,
 ) {
+    let Ok(address) = listener.local_addr() else { return };
+    let mut listener = Some(listener);
+    let mut mode_watch = mode.clone();
     loop {
-        let Ok((caller, _)) = listener.accept().await else { continue };
+        let Some(listening) = &listener else {
+            await_mode(&mut mode_watch, |mode| !mode.is_deaf()).await;
+            listener = TcpListener::bind(address).await.ok();
+            continue;
+        };
+        let accepted = tokio::select! {
+            accepted = listening.accept() => accepted,
+            () = await_mode(&mut mode_watch, LinkMode::is_deaf) => {
+                listener = None;
+                if *mode.borrow() == LinkMode::Silent {
+                    hold_silent(address, mode.clone()).await;
+                }
+                continue;
+            }
+        };
+        let Ok((caller, _)) = accepted else { continue };
         if *mode.borrow() == LinkMode::Reset {
             set_reset_on_close(&caller);
             continue;
@@ -79,6 +114,29 @@
     }
 }
 
+/// Waits for a mode that `is_wanted`, for ever once the link has been dropped.
+async fn await_mode<W>(mode: &mut watch::Receiver<LinkMode>, is_wanted: W)
+where
+    W: Fn(LinkMode) -> bool,
+{
+    if mode.wait_for(|mode| is_wanted(*mode)).await.is_err() {
+        std::future::pending().await
+    }
+}
+
+/// Listens at `address` with a full queue, so that new connections hang, until the mode changes.
+async fn hold_silent(address: SocketAddr, mut mode: watch::Receiver<LinkMode>) {
+    let Ok(socket) = TcpSocket::new_v4() else { return };
+    let _ = socket.set_reuseaddr(true);
+    let Ok(()) = socket.bind(address) else { return };
+    let Ok(_listener) = socket.listen(SILENT_BACKLOG) else { return };
+    let mut fillers = Vec::new();
+    for _ in 0..=SILENT_BACKLOG {
+        fillers.push(timeout(FILLER_TIMEOUT, TcpStream::connect(address)).await);
+    }
+    let _ = mode.wait_for(|mode| *mode != LinkMode::Silent).await;
+}
+
 /// Forwards both directions until one side closes or the link is reset.
 async fn relay(mut caller: TcpStream, mut server: TcpStream, mode: watch::Receiver<LinkMode>) {
     let mut reset_watch = mode.clone();
@@ -114,11 +172,13 @@
         let now = *mode.borrow();
         match now {
             LinkMode::Delayed(span) => sleep(span).await,
-            LinkMode::Stalled => {
-                let _ = mode.wait_for(|mode| *mode != LinkMode::Stalled).await;
+            LinkMode::Stalled | LinkMode::Silent => {
+                let is_over =
+                    |mode: &LinkMode| ![LinkMode::Stalled, LinkMode::Silent].contains(mode);
+                let _ = mode.wait_for(is_over).await;
             }
             LinkMode::OneWay if is_response => continue,
-            LinkMode::Open | LinkMode::OneWay | LinkMode::Reset => {}
+            LinkMode::Open | LinkMode::OneWay | LinkMode::Reset | LinkMode::Refused => {}
         }
         if to.write_all(&chunk[..length]).await.is_err() {
             break;
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -206,6 +206,25 @@
         lock(&self.state).aliases.insert(value, alias);
     }
 
+    /// Serves the same rows on another port, with texts in their values replaced, so that the hosts
+    /// which read them there use other addresses.
+    ///
+    /// # Errors
+    /// Fails if no port can be bound.
+    pub async fn start_view(
+        &self,
+        replacements: BTreeMap<String, String>,
+    ) -> std::io::Result<StandinServer> {
+        let (state, changed) = (self.state.clone(), self.changed.clone());
+        let replacements = Arc::new(replacements);
+        start(move |request| {
+            let (handled, replacements) =
+                (handle(state.clone(), changed.clone(), request), replacements.clone());
+            async move { replace_in_rows(handled.await, &replacements).await }
+        })
+        .await
+    }
+
     /// Returns the number of calls received so far.
     pub fn calls(&self) -> u64 {
         lock(&self.state).calls
@@ -405,6 +424,33 @@
     }
 }
 
+/// Replaces texts in the values of the rows of a response.
+async fn replace_in_rows(
+    response: Response<ResponseBody>,
+    replacements: &BTreeMap<String, String>,
+) -> Response<ResponseBody> {
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+    let mut message: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let rows = message.get_mut("rows").and_then(Value::as_array_mut);
+    for row in rows.into_iter().flatten() {
+        let value = row["value"].as_str().and_then(decode);
+        let Some(mut text) = value.and_then(|value| String::from_utf8(value).ok()) else {
+            continue;
+        };
+        for (known, other) in replacements {
+            text = text.replace(known, other);
+        }
+        row["value"] = encode(text.as_bytes()).into();
+    }
+    let body = if message.is_null() { body } else { message.to_string().into() };
+    let mut replaced = full_response(head.status, "application/json", body);
+    if let Some(era) = head.headers.get(ERA_HEADER) {
+        replaced.headers_mut().insert(ERA_HEADER, era.clone());
+    }
+    replaced
+}
+
 fn row_json(table: &str, key: &str, row: &StoredRow) -> Option<Value> {
     let value = row.value.as_ref()?;
     Some(json!({"table": table, "part": "", "key": key, "value": value, "ver": row.version}))
