State whether a host reaches upstreams

Heartbeats tell it and when the host last connected, so that hosts can tell 'they or I'; metric dotterellane_cut_off and two log lines. Nothing is decided by it yet.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -45,5 +45,6 @@
 pub mod team_buckets;
 pub mod upstream_choice;
 pub mod upstream_pace;
+pub mod upstream_reach;
 pub mod upstream_room;
 pub mod weight_plan;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod permit_search;
 pub mod permits;
 pub mod questions;
+pub mod reach;
 pub mod refusal;
 pub mod relay;
 pub mod response_memory;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -21,6 +21,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::reach::ReachReport;
+
 /// Maximum size of a datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -182,6 +184,8 @@
     pub configuration: ConfigurationMark,
     /// CPU capacity of the host, in thousandths of a core.
     pub processor: u32,
+    /// Whether the host reaches upstreams.
+    pub reach: ReachReport,
     /// Number of hosts, itself included, that the host observed of late; 0 if it does not know.
     pub hosts: u32,
     /// Tokens that the host charged, by team.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,8 @@
     pub responses: IntCounterVec,
     /// Attempts to send requests to upstreams, by outcome.
     pub sends: IntCounterVec,
+    /// Whether this host counts as cut off from all upstreams: 1 or 0.
+    pub cut_off: IntGauge,
     /// Retries, by service and by whether they were sent or refused for want of budget.
     pub retries: IntCounterVec,
     /// Number of hosts by which the fleet's budget of retries is divided.
@@ -125,6 +127,11 @@
             "Whether the newest version of the configuration cannot be used.",
         )?;
         registry.register(Box::new(configuration_unusable.clone()))?;
+        let cut_off = IntGauge::new(
+            "dotterellane_cut_off",
+            "Whether the host counts as cut off from all upstreams.",
+        )?;
+        registry.register(Box::new(cut_off.clone()))?;
         let retry_hosts = IntGauge::new(
             "dotterellane_retry_hosts",
             "Number of hosts by which the fleet's budget of retries is divided.",
@@ -151,6 +158,7 @@
                 "Retries, sent or refused for want of budget.",
                 &["service", "outcome"],
             )?,
+            cut_off,
             retry_hosts,
             selections: counter(
                 "dotterellane_selections_total",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,7 @@
 use crate::messages::{Heartbeat, MAX_DATAGRAM_BYTES, PeerDatagram, PeerMessage};
 use crate::notices;
 use crate::permits;
+use crate::reach::ReachReport;
 use crate::spending;
 use crate::state::{Host, KnownLeader, KnownPeer};
 use crate::stream_versions::{history, origins};
@@ -169,6 +170,7 @@
         fresh: state.is_fresh(now) && state.reaches_store(),
         configuration: state.newest_configuration,
         processor: host.settings.processor,
+        reach: ReachReport::of(&state, now),
         hosts: u32::try_from(state.fleet_size.observed(now)).unwrap_or(0),
         spending: state.buckets.report(now, full),
         running: state.room.report(),
@@ -224,6 +226,8 @@
             leaving: false,
             fresh: false,
             processor: 0,
+            reach: ReachReport::default(),
+            connected_at: None,
         };
         state.peers.insert(from.clone(), peer);
         state.room.forget(&from);
@@ -289,6 +293,8 @@
         peer.leaving = heartbeat.leaving;
         peer.fresh = heartbeat.fresh;
         peer.processor = heartbeat.processor;
+        peer.reach = heartbeat.reach;
+        peer.connected_at = heartbeat.reach.connected_at(now);
     }
     state.room.absorb(now, from, heartbeat.running);
     for sample in heartbeat.paces.into_iter().take(MAX_SHARED_SAMPLES) {
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -21,6 +21,7 @@
 use crate::notices;
 use crate::peers::send_to_host;
 use crate::questions::{PendingQuestions, RecentAnswers};
+use crate::reach;
 use crate::spending::grant_source;
 use crate::state::{Host, HostState};
 
@@ -291,7 +292,13 @@
 ) -> Result<OpenConnection, ExchangeError> {
     let (checked_host, checked_target) = (host.clone(), target.clone());
     let check = move || may_send() && is_permitted(&checked_host, &checked_target);
-    exchange::open(target.address, span, Box::new(check)).await
+    let opened = exchange::open(target.address, span, Box::new(check)).await;
+    let failure = match &opened {
+        Err(ExchangeError::NotSent { failure, .. }) => Some(*failure),
+        Ok(_) | Err(_) => None,
+    };
+    reach::note_connect(host, &target.upstream, failure);
+    opened
 }
 
 /// Returns whether a request may be sent to `target` now: it has no limit, or the permit holds.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 use dotterellane_decisions::stream_versions::{StreamOrigin, StreamOrigins};
 use dotterellane_decisions::team_buckets::TeamBuckets;
 use dotterellane_decisions::upstream_pace::UpstreamPaces;
+use dotterellane_decisions::upstream_reach::UpstreamReach;
 use dotterellane_decisions::weight_plan::{HostDemand, RunningModel, WaitingModel};
 use dotterellane_platform::{PlatformTable, RowFeed};
 use dotterellane_units::{
@@ -40,6 +41,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::permits::SendPermits;
 use crate::questions::PendingQuestions;
+use crate::reach::ReachReport;
 use crate::response_memory::ResponseMemory;
 use crate::selection::id_hash;
 use crate::settings::{HostSettings, HostTuning};
@@ -87,6 +89,10 @@
     pub fresh: bool,
     /// CPU capacity of its host, in thousandths of a core.
     pub processor: u32,
+    /// Whether it reaches upstreams, by its last heartbeat.
+    pub reach: ReachReport,
+    /// When it last connected to an upstream.
+    pub connected_at: Option<ClockInstant>,
 }
 
 /// The leader, as known to this host.
@@ -156,6 +162,10 @@
     pub arrivals: BTreeMap<(ServiceId, ModelChoice), u32>,
     /// Number of hosts in the fleet.
     pub fleet_size: FleetSize,
+    /// Whether this host reaches upstreams.
+    pub reach: UpstreamReach,
+    /// When other upstreams were last asked whether this host reaches any.
+    pub witnesses_asked_at: Option<ClockInstant>,
     /// Other daemons, by host.
     pub peers: BTreeMap<HostId, KnownPeer>,
     /// The leader; `None` while none is known.
@@ -282,6 +292,8 @@
             waiting: Slab::new(),
             arrivals: BTreeMap::new(),
             fleet_size: FleetSize::default(),
+            reach: UpstreamReach::default(),
+            witnesses_asked_at: None,
             peers: BTreeMap::new(),
             leader: None,
             leader_resigned_at: None,
