Send requests through another host while this one reaches no upstream

Cause: a host sent to upstreams by itself or not at all; between hosts went datagrams only. The evidence: all refusals of cut hosts in the record are no_place_soon, at requests for which four to nine sound upstreams were there. Change: a host that counts as cut off while another one has reached an upstream since opens its connections to upstreams through that host. The other one passes bytes on and decides nothing, so key, charge, deadline, permits, room, retries, regions, quarantine and once-only stay with the host whose caller it is.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -412,6 +412,11 @@
         }
     }
 
+    /// Forgets that connecting to upstreams failed, as that lay with this host.
+    pub fn forget_unreachable(&mut self) {
+        self.upstreams.values_mut().for_each(|known| known.unreachable = None);
+    }
+
     /// Returns the upstreams to which connecting failed recently.
     pub fn unreachable(&self, now: ClockInstant) -> Vec<UpstreamId> {
         let unreachable = self.upstreams.iter().filter(|(_, known)| known.is_unreachable(now));
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -30,6 +30,7 @@
 use crate::notices::{self, NoticeSource};
 use crate::peeked::PeekedBody;
 use crate::permits::{SendTarget, is_permitted, open};
+use crate::reach::SendWay;
 use crate::refusal::GatewayRefusal;
 use crate::relay::start_relay;
 use crate::selection::{
@@ -458,7 +459,8 @@
         yield_now().await;
         return Err(SendOutcome::NotSent);
     }
-    let opened = open(host, &target, remaining, Box::new(may_send.clone())).await;
+    let check = Box::new(may_send.clone());
+    let opened = open(host, &target, remaining, SendWay::AnyHost, check).await;
     // Things may have changed while the connection was established.
     if opened.is_ok() && !(may_send() && is_permitted(host, &target)) {
         return Err(SendOutcome::NotSent);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -22,6 +22,8 @@
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::body::grown_capacity;
@@ -109,16 +111,23 @@
     pub head_timeout: Duration,
 }
 
-/// Connects to an upstream. `may_send` is called right before the first byte is written; if it
-/// returns `false`, the call fails with [`ExchangeError::Withheld`].
+/// Connects to an upstream and prepares the connection for a call, as [`connect`] and [`prepare`].
 ///
 /// # Errors
-/// Fails if the connection is not established within `span` and [`CONNECT_TIMEOUT`].
+/// Fails as these do.
 pub async fn open(
     peer: SocketAddr,
     span: Duration,
     may_send: SendCheck,
 ) -> Result<OpenConnection, ExchangeError> {
+    prepare(peer, connect(peer, span).await?, may_send).await
+}
+
+/// Connects to an upstream.
+///
+/// # Errors
+/// Fails if the connection is not established within `span` and [`CONNECT_TIMEOUT`].
+pub async fn connect(peer: SocketAddr, span: Duration) -> Result<TcpStream, ExchangeError> {
     let failed = |cause: String, failure| ExchangeError::NotSent { peer, cause, failure };
     let not_sent = |cause: String| failed(cause, ConnectFailure::Unrelated);
     let longest = CONNECT_TIMEOUT.min(span);
@@ -135,6 +144,22 @@
             _ => not_sent(error.to_string()),
         })?;
     bound_unread(&stream);
+    Ok(stream)
+}
+
+/// Prepares a connection to an upstream for a call. `may_send` is called right before the first byte
+/// is written; if it returns `false`, the call fails with [`ExchangeError::Withheld`].
+///
+/// # Errors
+/// Fails if the connection is closed.
+pub async fn prepare<S>(
+    peer: SocketAddr,
+    stream: S,
+    may_send: SendCheck,
+) -> Result<OpenConnection, ExchangeError>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
     let limit = HeadLimit::default();
     let stream = HeadLimited::new(stream, limit.clone()).with_check(may_send);
     let stream = TokioIo::new(stream);
@@ -142,7 +167,11 @@
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(stream)
         .await
-        .map_err(|error| not_sent(error.to_string()))?;
+        .map_err(|error| ExchangeError::NotSent {
+            peer,
+            cause: error.to_string(),
+            failure: ConnectFailure::Unrelated,
+        })?;
     // Connection errors reach the call through the sender and the body.
     tokio::spawn(driver);
     Ok(OpenConnection { peer, sender, limit })
--- a/crates/gateway/src/leader/orders.rs
+++ b/crates/gateway/src/leader/orders.rs
@@ -16,6 +16,7 @@
 use crate::notices::{self, NoticeSource};
 use crate::peers::send_to_all;
 use crate::permits::{PermitOutcome, SendTarget, is_permitted, open, request_permit};
+use crate::reach::SendWay;
 use crate::state::Host;
 
 /// Maximum interval between two evaluations of the plans.
@@ -185,7 +186,8 @@
         head_timeout: ORDER_TIMEOUT,
     };
     let answered = async {
-        let connection = open(host, &target, ORDER_TIMEOUT, Box::new(is_wanted.clone())).await?;
+        let check = Box::new(is_wanted.clone());
+        let connection = open(host, &target, ORDER_TIMEOUT, SendWay::Direct, check).await?;
         if let Some(error) = withheld() {
             return Err(error);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,5 +44,6 @@
 pub mod stalls;
 pub mod state;
 pub mod stream_versions;
+pub mod tunnels;
 
 pub use run::{RunError, run};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,8 @@
     pub responses: IntCounterVec,
     /// Attempts to send requests to upstreams, by outcome.
     pub sends: IntCounterVec,
+    /// Connections through other hosts, by role (opened or served) and outcome.
+    pub tunnels: IntCounterVec,
     /// Whether this host counts as cut off from all upstreams: 1 or 0.
     pub cut_off: IntGauge,
     /// Retries, by service and by whether they were sent or refused for want of budget.
@@ -158,6 +160,11 @@
                 "Retries, sent or refused for want of budget.",
                 &["service", "outcome"],
             )?,
+            tunnels: counter(
+                "dotterellane_tunnels_total",
+                "Connections to upstreams through other hosts.",
+                &["role", "outcome"],
+            )?,
             cut_off,
             retry_hosts,
             selections: counter(
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,7 +20,7 @@
 use crate::messages::{Heartbeat, MAX_DATAGRAM_BYTES, PeerDatagram, PeerMessage};
 use crate::notices;
 use crate::permits;
-use crate::reach::ReachReport;
+use crate::reach::{self, ReachReport};
 use crate::spending;
 use crate::state::{Host, KnownLeader, KnownPeer};
 use crate::stream_versions::{history, origins};
@@ -296,6 +296,7 @@
         peer.reach = heartbeat.reach;
         peer.connected_at = heartbeat.reach.connected_at(now);
     }
+    reach::update_bypass(host, &mut state);
     state.room.absorb(now, from, heartbeat.running);
     for sample in heartbeat.paces.into_iter().take(MAX_SHARED_SAMPLES) {
         state.paces.absorb(now, sample);
@@ -307,6 +308,9 @@
     }
     let known: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
     drop(state);
+    if heartbeat.reach.cut_off {
+        reach::on_cut_off_peer(host);
+    }
     if evacuated {
         evacuations::on_changed(host);
     }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -21,7 +21,7 @@
 use crate::notices;
 use crate::peers::send_to_host;
 use crate::questions::{PendingQuestions, RecentAnswers};
-use crate::reach;
+use crate::reach::{self, SendWay, UpstreamLink};
 use crate::spending::grant_source;
 use crate::state::{Host, HostState};
 
@@ -279,8 +279,8 @@
     host.permits.requests.resolve(id, answer);
 }
 
-/// Connects to an upstream. Right before the first byte is written, `may_send` and the permit are
-/// checked, as the upstream may have announced a limit meanwhile.
+/// Connects to an upstream, `way` telling how. Right before the first byte is written, `may_send` and
+/// the permit are checked, as the upstream may have announced a limit meanwhile.
 ///
 /// # Errors
 /// Fails as [`exchange::open`] does.
@@ -288,17 +288,16 @@
     host: &Arc<Host>,
     target: &SendTarget,
     span: Duration,
+    way: SendWay,
     may_send: SendCheck,
 ) -> Result<OpenConnection, ExchangeError> {
     let (checked_host, checked_target) = (host.clone(), target.clone());
-    let check = move || may_send() && is_permitted(&checked_host, &checked_target);
-    let opened = exchange::open(target.address, span, Box::new(check)).await;
-    let failure = match &opened {
-        Err(ExchangeError::NotSent { failure, .. }) => Some(*failure),
-        Ok(_) | Err(_) => None,
-    };
-    reach::note_connect(host, &target.upstream, failure);
-    opened
+    let check: SendCheck =
+        Box::new(move || may_send() && is_permitted(&checked_host, &checked_target));
+    match reach::connect(host, target, span, way).await? {
+        UpstreamLink::Direct(stream) => exchange::prepare(target.address, stream, check).await,
+        UpstreamLink::Tunnel(stream) => exchange::prepare(target.address, stream, check).await,
+    }
 }
 
 /// Returns whether a request may be sent to `target` now: it has no limit, or the permit holds.
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -2,10 +2,11 @@
 //!
 //! A connection that fails may show that the upstream is down or that this host is cut off. Two
 //! other upstreams are asked then; while the host counts as cut off, one upstream after the other is
-//! probed until a connection is established.
+//! probed until a connection is established, and requests go through other hosts that reach upstreams.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,10 +16,13 @@
 use futures::future::join_all;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::exchange::ConnectFailure;
-use crate::state::{Host, HostState};
+use crate::exchange::{self, ConnectFailure, ExchangeError};
+use crate::permits::SendTarget;
+use crate::state::{Host, HostState, KnownPeer};
+use crate::tunnels::{TunnelStream, open_tunnel};
 
 /// Number of other upstreams that are asked whether this host is cut off.
 const WITNESSES: usize = 2;
@@ -26,6 +30,15 @@
 /// Minimum time between two rounds of asking them.
 const WITNESS_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Age from which a connection shows nothing about now.
+const EVIDENCE_AGE: Duration = Duration::from_millis(300);
+
+/// Time after which connecting takes longer than it should.
+const SLOW_CONNECT: Duration = Duration::from_millis(250);
+
+/// Interval at which a request that waits for a connection looks for another way.
+const BYPASS_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time within which a live upstream accepts a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -61,6 +74,81 @@
     }
 }
 
+/// Which way a call may take to its upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendWay {
+    /// From this host alone: upstreams tell the leader by its address.
+    Direct,
+    /// Through another host, while this one is cut off.
+    AnyHost,
+}
+
+/// A connection to an upstream.
+#[derive(Debug)]
+pub enum UpstreamLink {
+    /// From this host.
+    Direct(TcpStream),
+    /// Through another host.
+    Tunnel(TunnelStream),
+}
+
+/// Connects to an upstream; through another host if this one is cut off and `way` allows it.
+///
+/// # Errors
+/// Fails if no connection is established within `span` and the timeout for connections.
+pub async fn connect(
+    host: &Arc<Host>,
+    target: &SendTarget,
+    span: Duration,
+    way: SendWay,
+) -> Result<UpstreamLink, ExchangeError> {
+    let may_bypass = way == SendWay::AnyHost;
+    if may_bypass && host.state().bypasses {
+        return open_tunnel(host, target, span).await.map(UpstreamLink::Tunnel);
+    }
+    let started = host.now();
+    let mut connecting = pin!(exchange::connect(target.address, span));
+    let connected = tokio::select! {
+        connected = &mut connecting => Some(connected),
+        () = watch_for_cut(host, &target.upstream), if may_bypass => None,
+    };
+    let Some(connected) = connected else {
+        let left = span.saturating_sub(host.now().since(started));
+        return open_tunnel(host, target, left).await.map(UpstreamLink::Tunnel);
+    };
+    let failure = match &connected {
+        Err(ExchangeError::NotSent { failure, .. }) => Some(*failure),
+        Ok(_) | Err(_) => None,
+    };
+    note_connect(host, &target.upstream, failure);
+    connected.map(UpstreamLink::Direct)
+}
+
+/// Returns once this host sends through others; asks other upstreams if that takes longer than a
+/// connection should.
+async fn watch_for_cut(host: &Arc<Host>, upstream: &UpstreamId) {
+    sleep(SLOW_CONNECT).await;
+    ask_witnesses(host, upstream).await;
+    while !host.state().bypasses {
+        sleep(BYPASS_INTERVAL).await;
+    }
+}
+
+/// Decides anew whether requests go through other hosts; `state` is that of `host`.
+pub fn update_bypass(host: &Host, state: &mut HostState) {
+    let bypasses = state.is_cut_off(host.now());
+    if std::mem::replace(&mut state.bypasses, bypasses) == bypasses {
+        return;
+    }
+    spdlog::info!("way to upstreams changed", kv: {
+        host = host.settings.host.as_str(),
+        through_others = bypasses,
+    });
+    // Upstreams that were not reached one way may be the other way.
+    state.directory.forget_unreachable();
+    host.holdings_changed.notify_waiters();
+}
+
 /// Records the result of connecting to an upstream; asks others if it failed.
 pub fn note_connect(host: &Arc<Host>, upstream: &UpstreamId, failure: Option<ConnectFailure>) {
     match failure {
@@ -75,7 +163,12 @@
 }
 
 fn note_connected(host: &Host) {
-    let was_cut_off = host.state().reach.note_connected(host.now());
+    let was_cut_off = {
+        let mut state = host.state();
+        let was_cut_off = state.reach.note_connected(host.now());
+        update_bypass(host, &mut state);
+        was_cut_off
+    };
     if was_cut_off {
         spdlog::info!("upstreams are reached again", kv: { host = host.settings.host.as_str() });
         host.metrics.cut_off.set(0);
@@ -87,7 +180,9 @@
     let is_cut_off = {
         let mut state = host.state();
         let listed = state.directory.iter().count();
-        state.reach.note_failed(host.now(), upstream, listed)
+        let is_cut_off = state.reach.note_failed(host.now(), upstream, listed);
+        update_bypass(host, &mut state);
+        is_cut_off
     };
     if is_cut_off {
         spdlog::warn!("no upstream is reached", kv: { host = host.settings.host.as_str() });
@@ -97,8 +192,26 @@
     }
 }
 
+/// Handles that another host counts as cut off: it can only tell that from an outage of all upstreams
+/// if this one, which may be idle, has connected to one since.
+pub fn on_cut_off_peer(host: &Arc<Host>) {
+    let now = host.now();
+    let connected_at = host.state().reach.connected_at();
+    if connected_at.is_none_or(|at| now.since(at) >= EVIDENCE_AGE) {
+        let host = host.clone();
+        tokio::spawn(async move { ask_some(&host, |_| true).await });
+    }
+}
+
 /// Connects to some upstreams other than `failed`, unless that was done just before.
 pub async fn ask_witnesses(host: &Arc<Host>, failed: &UpstreamId) {
+    ask_some(host, |name| name != failed).await;
+}
+
+async fn ask_some<F>(host: &Arc<Host>, is_wanted: F)
+where
+    F: Fn(&UpstreamId) -> bool,
+{
     let witnesses = {
         let now = host.now();
         let mut state = host.state();
@@ -106,7 +219,7 @@
             return;
         }
         state.witnesses_asked_at = Some(now);
-        pick_upstreams(&state, WITNESSES, |name| name != failed)
+        pick_upstreams(&state, WITNESSES, is_wanted)
     };
     join_all(witnesses.iter().map(|(name, address)| probe(host, name, *address))).await;
 }
@@ -114,6 +227,7 @@
 async fn probe_until_reached(host: Arc<Host>) {
     while host.state().reach.cut_off_at().is_some() {
         sleep(PROBE_INTERVAL).await;
+        update_bypass(&host, &mut host.state());
         let picked = pick_upstreams(&host.state(), 1, |_| true);
         for (name, address) in picked {
             probe(&host, &name, address).await;
@@ -142,12 +256,17 @@
 impl HostState {
     /// Returns whether this host is cut off from all upstreams while another one reaches some.
     pub fn is_cut_off(&self, now: ClockInstant) -> bool {
-        let Some(since) = self.reach.cut_off_at() else { return false };
+        self.reaching_peers(now).next().is_some()
+    }
+
+    /// Returns the other hosts that have reached an upstream since this one was cut off; none if it
+    /// is not.
+    pub fn reaching_peers(&self, now: ClockInstant) -> impl Iterator<Item = &KnownPeer> {
         let silence = HeartbeatPace::of(self.peers.len()).silence_timeout;
-        self.peers.values().any(|peer| {
-            now.since(peer.heard) < silence
-                && !peer.reach.cut_off
-                && peer.connected_at.is_some_and(|at| at > since)
+        let cut_off_at = self.reach.cut_off_at();
+        self.peers.values().filter(move |peer| {
+            let reaches = cut_off_at.is_some_and(|since| peer.connected_at > Some(since));
+            reaches && now.since(peer.heard) < silence && !peer.reach.cut_off && !peer.leaving
         })
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,7 @@
 use crate::settings::HostSettings;
 use crate::state::{Host, HostPlatform};
 use crate::stream_versions::{archive, history};
-use crate::{followers, leader, peers, server, stalls};
+use crate::{followers, leader, peers, server, stalls, tunnels};
 
 /// Time for which the load balancer may still send callers after the readiness check began to fail.
 const BALANCER_LAG: Duration = Duration::from_millis(2_600);
@@ -104,6 +104,9 @@
     let metrics = server::listen("listen for metrics", settings.metrics)
         .await
         .map_err(start_error("start"))?;
+    let tunnel_listener = server::listen("listen for other hosts", settings.peers)
+        .await
+        .map_err(start_error("start"))?;
     let socket = UdpSocket::bind(settings.peers).await.map_err(start_error("bind peer socket"))?;
     let host = Host::new(settings, incarnation, wire, platform, clock, socket)
         .map_err(start_error("register metrics"))?;
@@ -127,6 +130,7 @@
     stalls::start(&host).map_err(start_error("watch for stalls"))?;
     tokio::spawn(server::serve_status(status, host.clone()));
     tokio::spawn(server::serve_status(metrics, host.clone()));
+    tokio::spawn(tunnels::serve_tunnels(tunnel_listener, host.clone()));
     let accepting = tokio::spawn(server::serve_callers(callers, host.clone()));
     tokio::spawn(watch_settings(host.clone(), settings_file, hang_up));
     stop.recv().await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,7 +27,7 @@
 };
 use slab::Slab;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -48,6 +48,7 @@
 use crate::spending::TokenGrants;
 use crate::stream_versions::archive::ArchiveReading;
 use crate::stream_versions::history::KnownVersions;
+use crate::tunnels;
 
 /// The platform's services that the daemon uses.
 #[derive(Clone, Debug)]
@@ -164,6 +165,8 @@
     pub fleet_size: FleetSize,
     /// Whether this host reaches upstreams.
     pub reach: UpstreamReach,
+    /// Whether requests go to upstreams through other hosts, as this one is cut off.
+    pub bypasses: bool,
     /// When other upstreams were last asked whether this host reaches any.
     pub witnesses_asked_at: Option<ClockInstant>,
     /// Other daemons, by host.
@@ -249,6 +252,8 @@
     pub response_memory: ResponseMemory,
     /// Memory held for callers.
     pub caller_memory: Arc<CallerMemory>,
+    /// Places for connections that this host passes on for others.
+    pub tunnel_places: Arc<Semaphore>,
     state: Mutex<HostState>,
 }
 
@@ -293,6 +298,7 @@
             arrivals: BTreeMap::new(),
             fleet_size: FleetSize::default(),
             reach: UpstreamReach::default(),
+            bypasses: false,
             witnesses_asked_at: None,
             peers: BTreeMap::new(),
             leader: None,
@@ -318,6 +324,7 @@
             archive_reading: ArchiveReading::default(),
             response_memory: ResponseMemory::new(bounds.collected),
             caller_memory: Arc::new(caller_memory),
+            tunnel_places: Arc::new(Semaphore::new(tunnels::places(bounds.connections))),
             settings,
             incarnation,
             started: clock.now(),
--- a/crates/upstream/src/connect.rs
+++ b/crates/upstream/src/connect.rs
@@ -1,11 +1,11 @@
 //! TCP connections that detect a dead peer within seconds.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use rustix::net::sockopt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Time for which sent data may stay unacknowledged before the kernel closes the connection.
 pub const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
@@ -26,6 +26,19 @@
     Ok(stream)
 }
 
+/// Opens a connection from the local address `source` with dead-peer detection enabled.
+///
+/// # Errors
+/// Fails if no socket can be bound there, if the peer does not accept the connection, or if the
+/// socket rejects an option.
+pub async fn connect_tcp_from(source: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    let stream = socket.connect(address).await?;
+    enable_dead_peer_detection(&stream)?;
+    Ok(stream)
+}
+
 /// Lets the kernel close `stream` when its peer stops acknowledging data or keepalive probes. Also
 /// disables Nagle's algorithm.
 ///
--- a/crates/upstream/src/head_limit.rs
+++ b/crates/upstream/src/head_limit.rs
@@ -14,7 +14,6 @@
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Maximum number of bytes of all heads of one response, informational ones included.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -66,15 +65,15 @@
 
 /// A connection that fails when a response head exceeds the limit, or when the request may no
 /// longer be sent.
-pub struct HeadLimited {
-    stream: TcpStream,
+pub struct HeadLimited<S> {
+    stream: S,
     limit: HeadLimit,
     may_send: Option<SendCheck>,
 }
 
-impl HeadLimited {
+impl<S> HeadLimited<S> {
     /// Wraps `stream`; reads count against `limit` while it is not lifted.
-    pub fn new(stream: TcpStream, limit: HeadLimit) -> Self {
+    pub fn new(stream: S, limit: HeadLimit) -> Self {
         Self { stream, limit, may_send: None }
     }
 
@@ -96,13 +95,19 @@
     }
 }
 
-impl fmt::Debug for HeadLimited {
+impl<S> fmt::Debug for HeadLimited<S>
+where
+    S: fmt::Debug,
+{
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("HeadLimited").field("stream", &self.stream).finish_non_exhaustive()
     }
 }
 
-impl AsyncRead for HeadLimited {
+impl<S> AsyncRead for HeadLimited<S>
+where
+    S: AsyncRead + Unpin,
+{
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -118,7 +123,10 @@
     }
 }
 
-impl AsyncWrite for HeadLimited {
+impl<S> AsyncWrite for HeadLimited<S>
+where
+    S: AsyncWrite + Unpin,
+{
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
