Report upstreams as down only if this host is not cut off

A refused connection now has two other upstreams asked. If none is reached, the host waits a silence timeout for the others' word: if one has reached an upstream meanwhile, nothing is reported. The same is asked before a silent upstream counts as gone. A host that knows no peer reports at once.

--- a/crates/gateway/src/beside.rs
+++ b/crates/gateway/src/beside.rs
@@ -9,14 +9,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterellane_units::UpstreamId;
 use dotterellane_upstream::connect::connect_tcp;
 use http::Response;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::crashes::check_for_crash;
 use crate::dispatch::{RequestProgress, SendOutcome, SilentAttempt, send_once};
+use crate::exchange::ConnectFailure;
 use crate::handler::{Admission, GatewayCall};
 use crate::peeked::PeekedBody;
+use crate::reach;
 use crate::selection::{SelectedUpstream, select_upstream};
 use crate::state::Host;
 
@@ -78,6 +81,7 @@
     let mut end = BesideEnd { first: None, gone: false, other: None };
     let mut probing = silent.probes;
     let upstream = silent.selected.name.clone();
+    let gone_upstream = upstream.clone();
     progress.silent = Some(SilentAttempt { upstream, may_repeat: silent.may_repeat });
     {
         let mut asking = pin!(ask_other(host, call, admission.clone(), progress));
@@ -85,7 +89,7 @@
         let mut refused = false;
         let mut overlap = pin!(sleep(HANDOVER_OVERLAP));
         let is_stream = admission.route.kind.is_stream();
-        let mut probe = pin!(is_gone(silent.selected.address));
+        let mut probe = pin!(is_gone(host, &gone_upstream, silent.selected.address));
         let mut first = pin!(first);
         loop {
             // A head of the silent one is no better than that of the other one.
@@ -194,9 +198,12 @@
 }
 
 /// Returns whether an upstream refuses a new connection, as nothing listens at its address.
-async fn is_gone(address: SocketAddr) -> bool {
+async fn is_gone(host: &Arc<Host>, upstream: &UpstreamId, address: SocketAddr) -> bool {
     match timeout(PROBE_TIMEOUT, connect_tcp(address)).await {
-        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            reach::note_connect(host, upstream, Some(ConnectFailure::Refused));
+            reach::is_down(host, upstream).await
+        }
+        Ok(_) | Err(_) => false,
     }
 }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -8,14 +8,16 @@
     CrashReport, PartFingerprint, RememberedCrash, RequestFingerprint, RequestIdentity,
     UpstreamStart,
 };
-use dotterellane_units::{HostId, ServiceId, TeamId};
+use dotterellane_units::{HostId, ServiceId, TeamId, UpstreamId};
 use dotterellane_upstream::connect::connect_tcp;
 use rand::seq::SliceRandom;
 use tokio::time::{sleep, timeout};
 
+use crate::exchange::ConnectFailure;
 use crate::handler::GatewayCall;
 use crate::messages::PeerMessage;
 use crate::peers::{send_to_all, send_to_host};
+use crate::reach;
 use crate::state::Host;
 
 /// Delay before an upstream that broke off a request is probed with a new connection.
@@ -117,10 +119,10 @@
     let host = host.clone();
     tokio::spawn(async move {
         sleep(PROBE_DELAY).await;
-        if !refuses_connections(&host, address).await {
+        let (identity, upstream) = (in_flight.identity.clone(), in_flight.upstream.clone());
+        if !refuses_connections(&host, &upstream.upstream, address).await {
             return;
         }
-        let (identity, upstream) = (in_flight.identity.clone(), in_flight.upstream.clone());
         let mut state = host.state();
         let reports = state.crashes.note_crash(host.now(), &identity, &upstream);
         let summary = state.crashes.summary(host.now(), &identity);
@@ -137,14 +139,18 @@
     });
 }
 
-/// Returns whether an upstream refuses a new connection. One that accepts it did not crash, but
-/// only lost the response.
-async fn refuses_connections(host: &Host, address: SocketAddr) -> bool {
-    let result = match timeout(PROBE_TIMEOUT, connect_tcp(address)).await {
-        Ok(Ok(_stream)) => "accepted",
-        Ok(Err(_refusal)) => "refused",
-        Err(_elapsed) => "silent",
+/// Returns whether an upstream refuses a new connection, and not this host is cut off. One that
+/// accepts it did not crash, but only lost the response.
+async fn refuses_connections(host: &Arc<Host>, upstream: &UpstreamId, address: SocketAddr) -> bool {
+    let (mut result, failure) = match timeout(PROBE_TIMEOUT, connect_tcp(address)).await {
+        Ok(Ok(_stream)) => ("accepted", None),
+        Ok(Err(_refusal)) => ("refused", Some(ConnectFailure::Refused)),
+        Err(_elapsed) => ("silent", Some(ConnectFailure::Unanswered)),
     };
+    reach::note_connect(host, upstream, failure);
+    if result == "refused" && !reach::is_down(host, upstream).await {
+        result = "cut_off";
+    }
     host.metrics.breaks.with_label_values(&[result]).inc();
     result == "refused"
 }
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -16,6 +16,7 @@
 use crate::leader;
 use crate::messages::{KnownLimit, LimitReport};
 use crate::permits::heard_fraction;
+use crate::reach;
 use crate::state::{Host, HostState};
 
 /// Maximum number of unknown notices that are counted by name, as upstreams choose the names.
@@ -203,7 +204,7 @@
 
 /// Handles that connecting to an upstream failed, so that it gets no requests for a while. It may
 /// come back cold after that, unless the failure may lie with this host.
-pub fn note_unreachable(host: &Host, upstream: &UpstreamId, failure: ConnectFailure) {
+pub fn note_unreachable(host: &Arc<Host>, upstream: &UpstreamId, failure: ConnectFailure) {
     let now = host.now();
     let mut state = host.state();
     let pause = match failure {
@@ -215,6 +216,18 @@
     if failure == ConnectFailure::Unrelated || is_cut_off {
         return;
     }
+    drop(state);
+    let (host, upstream) = (host.clone(), upstream.clone());
+    tokio::spawn(async move {
+        if reach::is_down(&host, &upstream).await {
+            note_failed_connection(&host, &upstream, pause);
+        }
+    });
+}
+
+fn note_failed_connection(host: &Host, upstream: &UpstreamId, pause: Duration) {
+    let now = host.now();
+    let mut state = host.state();
     if state.directory.note_possibly_cold(now, upstream, pause) {
         announce_cold(host, &state, now, upstream, "a failed connection");
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -346,7 +346,9 @@
         let (leader, demands, down) = {
             let mut state = host.state();
             let leader = state.leader.as_ref().map(|leader| leader.host.clone());
-            let down = state.directory.unreachable(host.now());
+            let is_suspect = state.reach.cut_off_at().is_some();
+            let unreachable = state.directory.unreachable(host.now());
+            let down = if is_suspect { Vec::new() } else { unreachable };
             (leader, state.take_demand(), down)
         };
         busy = !demands.is_empty() || !down.is_empty();
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -192,6 +192,22 @@
     }
 }
 
+/// Returns whether `upstream`, to which connecting failed, is down, so that this may be told to
+/// others; not if this host is cut off.
+pub async fn is_down(host: &Arc<Host>, upstream: &UpstreamId) -> bool {
+    ask_witnesses(host, upstream).await;
+    let others_word = {
+        let state = host.state();
+        if !state.reach.is_in_doubt() || state.peers.is_empty() {
+            return true;
+        }
+        HeartbeatPace::of(state.peers.len()).silence_timeout
+    };
+    // Until then, hosts that reach upstreams have said so.
+    sleep(others_word).await;
+    !host.state().bypasses
+}
+
 /// Handles that another host counts as cut off: it can only tell that from an outage of all upstreams
 /// if this one, which may be idle, has connected to one since.
 pub fn on_cut_off_peer(host: &Arc<Host>) {
--- a/crates/standins/src/site/link.rs
+++ b/crates/standins/src/site/link.rs
@@ -35,14 +35,21 @@
     Reset,
     /// Refuses new connections; open ones go on.
     Refused,
+    /// Refuses new connections and resets open ones.
+    Cut,
     /// Does not answer new connections, which hang; holds back both directions of open ones.
     Silent,
 }
 
 impl LinkMode {
+    /// Returns whether open connections are reset.
+    fn breaks_open(self) -> bool {
+        matches!(self, Self::Reset | Self::Cut)
+    }
+
     /// Returns whether new connections are not accepted.
     fn is_deaf(self) -> bool {
-        matches!(self, Self::Refused | Self::Silent)
+        matches!(self, Self::Refused | Self::Cut | Self::Silent)
     }
 }
 
@@ -146,7 +153,7 @@
         tokio::select! {
             () = forward(from_caller, to_server, mode.clone(), false) => true,
             () = forward(from_server, to_caller, mode, true) => true,
-            _ = reset_watch.wait_for(|mode| *mode == LinkMode::Reset) => false,
+            _ = reset_watch.wait_for(|mode| mode.breaks_open()) => false,
         }
     };
     if !ended {
@@ -178,7 +185,11 @@
                 let _ = mode.wait_for(is_over).await;
             }
             LinkMode::OneWay if is_response => continue,
-            LinkMode::Open | LinkMode::OneWay | LinkMode::Reset | LinkMode::Refused => {}
+            LinkMode::Open
+            | LinkMode::OneWay
+            | LinkMode::Reset
+            | LinkMode::Refused
+            | LinkMode::Cut => {}
         }
         if to.write_all(&chunk[..length]).await.is_err() {
             break;
