--- a/crates/gateway/src/leader/lease.rs
+++ b/crates/gateway/src/leader/lease.rs
@@ -26,7 +26,7 @@
 /// Time after the start in which a host only listens for a leader.
 const START_GRACE: Duration = Duration::from_millis(350);
 
-/// Minimum time for which a new leader keeps the lease before it yields to a larger host.
+/// Minimum time for which a new leader keeps the lease before it yields.
 const MIN_LEASE_HOLD: Duration = Duration::from_millis(500);
 
 /// Interval at which the next step for the lease is decided.
@@ -39,8 +39,8 @@
 pub async fn run_election(host: Arc<Host>) {
     let started = host.now();
     loop {
-        if should_yield(&host) {
-            yield_lease(&host).await;
+        if let Some(cause) = cause_to_yield(&host) {
+            yield_lease(&host, cause).await;
         }
         let step = lease_step(&host, started);
         match step {
@@ -70,6 +70,10 @@
     }
     if !holds {
         let state = host.state();
+        // Its orders would reach nobody.
+        if state.bypasses {
+            return None;
+        }
         let silence = match &state.leader {
             Some(leader) if leader.host != host.settings.host => now.since(leader.heard),
             _ => {
@@ -105,7 +109,8 @@
     let live = state
         .peers
         .iter()
-        .filter(move |(_, peer)| now.since(peer.heard) < silence && !peer.leaving && peer.fresh);
+        .filter(move |(_, peer)| now.since(peer.heard) < silence && !peer.leaving && peer.fresh)
+        .filter(|(_, peer)| !peer.reach.cut_off);
     live.map(|(host, peer)| LeaderCandidate {
         host,
         incarnation: peer.incarnation,
@@ -113,22 +118,30 @@
     })
 }
 
-/// Returns whether this host is the leader although a much larger host could be: it acquired the
-/// lease before it knew of that host.
-fn should_yield(host: &Host) -> bool {
+/// Returns why this host should not be the leader although it is: it is cut off from the runners, or a
+/// much larger host could be, of which it did not know when it acquired the lease.
+fn cause_to_yield(host: &Host) -> Option<&'static str> {
     let now = host.now();
     let may_yield = {
         let leadership = host.leadership.lock();
         leadership.is_leader && now.since(leadership.acquired_at) > MIN_LEASE_HOLD
     };
     let state = host.state();
-    may_yield && has_much_larger_candidate(live_candidates(&state, now), own_candidate(host))
+    if !may_yield {
+        return None;
+    }
+    if state.bypasses && live_candidates(&state, now).next().is_some() {
+        return Some("it reaches no upstream");
+    }
+    let has_larger = has_much_larger_candidate(live_candidates(&state, now), own_candidate(host));
+    has_larger.then_some("there is a larger host")
 }
 
 /// Releases the lease while the daemon keeps running.
-async fn yield_lease(host: &Host) {
-    spdlog::info!("leader yields to a larger host", kv: {
+async fn yield_lease(host: &Host, cause: &str) {
+    spdlog::info!("leader yields", kv: {
         host = host.settings.host.as_str(),
+        cause = cause,
     });
     {
         let mut state = host.state();
