--- a/crates/standins/src/site/link.rs
+++ b/crates/standins/src/site/link.rs
@@ -68,7 +68,14 @@
     /// # Errors
     /// Fails if no port can be bound.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        Self::start_on(TcpListener::bind(("127.0.0.1", 0)).await?, target)
+    }
+
+    /// Starts a proxy for `target` on the port of `listener`.
+    ///
+    /// # Errors
+    /// Fails if the address of `listener` cannot be read.
+    pub fn start_on(listener: TcpListener, target: SocketAddr) -> std::io::Result<Self> {
         let address = listener.local_addr()?;
         let (mode, receiver) = watch::channel(LinkMode::Open);
         let stop = CancellationToken::new();
--- a/crates/standins/src/site/mesh.rs
+++ b/crates/standins/src/site/mesh.rs
@@ -1,4 +1,5 @@
-//! A UDP proxy between daemons, with which tests drop, delay, reorder and duplicate datagrams.
+//! A proxy between daemons, with which tests drop, delay, reorder and duplicate datagrams. It passes
+//! their connections on, too.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -7,13 +8,18 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use super::link::SiteLink;
+
 /// Size of the receive buffer, in bytes; no datagram is longer.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
+/// Maximum number of ports that are tried.
+const MAX_BINDS: usize = 20;
+
 /// How the mesh treats the datagrams of a daemon.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum MeshMode {
@@ -54,10 +60,12 @@
 /// The mesh's socket for each daemon, by the address at which the daemon itself listens.
 type MeshSockets = BTreeMap<SocketAddr, Arc<UdpSocket>>;
 
-/// A UDP proxy between some daemons; it stops when dropped.
+/// A proxy between some daemons; it stops when dropped.
 #[derive(Debug)]
 pub struct SiteMesh {
     sockets: Arc<MeshSockets>,
+    /// Connections to the daemons, at the addresses of the sockets.
+    _links: Vec<SiteLink>,
     state: Arc<Mutex<MeshState>>,
     _stop: DropGuard,
 }
@@ -68,9 +76,11 @@
     /// # Errors
     /// Fails if no port can be bound.
     pub async fn start(daemons: &[SocketAddr], seed: u64) -> std::io::Result<Self> {
-        let mut sockets = MeshSockets::new();
+        let (mut sockets, mut links) = (MeshSockets::new(), Vec::new());
         for daemon in daemons {
-            sockets.insert(*daemon, Arc::new(UdpSocket::bind(("127.0.0.1", 0)).await?));
+            let (socket, listener) = bind_both().await?;
+            sockets.insert(*daemon, Arc::new(socket));
+            links.push(SiteLink::start_on(listener, *daemon)?);
         }
         let sockets = Arc::new(sockets);
         let random = Pcg64Mcg::seed_from_u64(seed);
@@ -80,7 +90,7 @@
             let forwarding = forward(*daemon, sockets.clone(), state.clone());
             tokio::spawn(stop.clone().run_until_cancelled_owned(forwarding));
         }
-        Ok(Self { sockets, state, _stop: stop.drop_guard() })
+        Ok(Self { sockets, _links: links, state, _stop: stop.drop_guard() })
     }
 
     /// Returns the mesh's address for `daemon`, which the other daemons send to.
@@ -97,6 +107,17 @@
     }
 }
 
+/// Binds a port that is free for datagrams and for connections.
+async fn bind_both() -> std::io::Result<(UdpSocket, TcpListener)> {
+    for _ in 0..MAX_BINDS {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        if let Ok(socket) = UdpSocket::bind(listener.local_addr()?).await {
+            return Ok((socket, listener));
+        }
+    }
+    Err(std::io::Error::other("no port is free for both"))
+}
+
 fn lock(state: &Mutex<MeshState>) -> MutexGuard<'_, MeshState> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
