--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -154,6 +154,12 @@
     leaving: bool,
     /// Value of the `server-limit` header of all responses; `None` for no header.
     rate_limit: Option<String>,
+    /// Value of the `server-brittle` header of all responses; `None` for no header.
+    brittle: Option<String>,
+    /// Whether the runner has no room and rejects all requests.
+    full: bool,
+    /// When it rejected requests for want of room.
+    turned_away: Vec<Instant>,
     /// Until when the runner is cold; it is warm by default.
     cold_until: Option<Instant>,
     /// Times at which anything arrived: requests, orders and questions for reports.
@@ -374,6 +380,21 @@
         lock(&self.state).arrivals.clone()
     }
 
+    /// Adds a `server-brittle` header with this value to all responses from now on.
+    pub fn set_brittle(&self, rejections: Option<&str>) {
+        lock(&self.state).brittle = rejections.map(str::to_owned);
+    }
+
+    /// Rejects all requests for want of room from now on, or none.
+    pub fn set_full(&self, full: bool) {
+        lock(&self.state).full = full;
+    }
+
+    /// Returns when requests were rejected for want of room.
+    pub fn turned_away(&self) -> Vec<Instant> {
+        lock(&self.state).turned_away.clone()
+    }
+
     /// Returns the requests rejected by [`EngineFault::RejectsWithPause`].
     pub fn rejected_requests(&self) -> Vec<RejectedRequest> {
         lock(&self.state).rejected.clone()
@@ -488,9 +509,9 @@
 ) -> Response<ResponseBody> {
     lock(&state).arrivals.push(Instant::now());
     let mut response = handle_request(name, state.clone(), request).await;
-    let (leaving, rate_limit) = {
+    let (leaving, rate_limit, brittle) = {
         let state = lock(&state);
-        (state.leaving, state.rate_limit.clone())
+        (state.leaving, state.rate_limit.clone(), state.brittle.clone())
     };
     if leaving {
         set_header(&mut response, "server-leaving", "1");
@@ -498,6 +519,9 @@
     if let Some(rate_limit) = rate_limit {
         set_header(&mut response, "server-limit", &rate_limit);
     }
+    if let Some(brittle) = brittle {
+        set_header(&mut response, "server-brittle", &brittle);
+    }
     response
 }
 
@@ -542,7 +566,12 @@
         let mut state = lock(&state);
         let events = state.events;
         let drawn = state.random_faults.as_mut().and_then(|faults| faults.draw(events));
-        let fault = state.faults.pop_front().or(drawn);
+        let is_full = state.full;
+        if is_full {
+            state.turned_away.push(Instant::now());
+        }
+        let full = is_full.then_some(EngineFault::NotRun);
+        let fault = full.or_else(|| state.faults.pop_front()).or(drawn);
         let not_held = !item.is_empty() && !state.holds(&item);
         let rejected =
             matches!(fault, Some(EngineFault::NotRun | EngineFault::RejectsWithPause(_)));
