Ask full upstreams rarely that say they are brittle

Cause: the header was unknown; each host found out for itself that an upstream has no room, and asked again. Change: a brittle upstream gets no more requests than it has slots, by the account of all hosts. One that turns a request away has a rate limit of N / 4 until it has run a later one, told to all at once; the permits of the leader bound the sum.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! the simulated scenarios in the tests run the same code.
 
 pub mod allowed_regions;
+pub mod brittle_upstreams;
 pub mod cold_start;
 pub mod cold_upstreams;
 pub mod configuration_evidence;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -96,11 +96,13 @@
     pub pause: Option<Duration>,
     /// What it says about its rate limit.
     pub rate_limit: LimitNotice,
+    /// How many requests a second it can turn away for want of room before it falls over.
+    pub brittle: LimitNotice,
     /// Names of headers by which it announces something that the adapter does not understand.
     pub unknown: Vec<HeaderName>,
 }
 
-/// What a response says about the rate limit of its upstream.
+/// What a response says about a number of requests per second.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum LimitNotice {
     /// It names no limit.
@@ -108,7 +110,7 @@
     Unstated,
     /// It names one that cannot be understood.
     Unreadable,
-    /// The upstream takes this many requests per second from all hosts together.
+    /// This many requests per second, from all hosts together.
     Limit(RequestRate),
 }
 
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -50,7 +50,8 @@
         .filter(|(_, known)| progress.allowed.includes(state, now, &progress.service, known))
         .map(|(name, known)| describe(host, state, now, progress, name, known));
     for candidate in able {
-        if let Err(shortage) = state.room.check(&candidate.name, &candidate.room.capacity, room) {
+        let checked = state.room.check(&candidate.name, &candidate.room.capacity, room);
+        if let Err(shortage) = checked.and_then(|()| check_slots(state, now, &candidate)) {
             set.full.push((candidate, shortage));
         } else if state.directory.rate_limit(now, &candidate.name).is_some() {
             set.limited.push(candidate);
@@ -61,6 +62,24 @@
     set
 }
 
+/// Checks that a brittle upstream has a free slot, as far as known.
+///
+/// # Errors
+/// Fails if it has none.
+fn check_slots(
+    state: &HostState,
+    now: ClockInstant,
+    candidate: &UpstreamCandidate,
+) -> Result<(), RoomShortage> {
+    let known = state.directory.get(&candidate.name).map(|known| &known.entry);
+    let is_brittle = known.is_some_and(|entry| {
+        state.directory.brittle.is_brittle(now, &candidate.name, entry.report.started_at)
+    });
+    let UpstreamRoom { capacity, load } = candidate.room;
+    let is_full = capacity.slots > 0 && load.requests >= capacity.slots;
+    if is_brittle && is_full { Err(RoomShortage::Slots) } else { Ok(()) }
+}
+
 fn describe(
     host: &Host,
     state: &HostState,
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dotterellane_decisions::allowed_regions::AllowedRegions;
+use dotterellane_decisions::brittle_upstreams::BrittleUpstreams;
 use dotterellane_decisions::cold_upstreams::{ColdLimit, ColdMark, ColdUpstreams};
 use dotterellane_decisions::evacuations::Evacuations;
 use dotterellane_decisions::leaving_marks::{LeavingMark, LeavingMarks};
@@ -108,6 +109,8 @@
     pauses: SendPauses,
     /// Upstreams that announced how many requests they take from all hosts together.
     pub rate_limits: RateLimits,
+    /// Upstreams that fall over if they turn too many requests away.
+    pub brittle: BrittleUpstreams,
     /// Failure domains to whose upstreams nothing may be sent.
     pub evacuations: Evacuations,
     /// Upstreams that take few requests until they are warm.
--- a/crates/gateway/src/leader/orders.rs
+++ b/crates/gateway/src/leader/orders.rs
@@ -198,7 +198,13 @@
         host.metrics.runner_calls.with_label_values(&[purpose.label()]).inc();
         let asked_at = host.now();
         let head = exchange(connection, sending).await?;
-        let source = NoticeSource { upstream: runner, started_at, asked_at, ends_limit: false };
+        let source = NoticeSource {
+            upstream: runner,
+            started_at,
+            asked_at,
+            ends_limit: false,
+            turned_away: false,
+        };
         notices::record(host, source, head.status(), head.headers());
         read_whole(peer, head, ORDER_TIMEOUT, &host.response_memory).await
     };
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -61,6 +61,8 @@
     PermitQuestion(PermitQuestion),
     /// Sent by the issuer of permits: the answer to the question with this id.
     PermitAnswer(u64, PermitAnswer),
+    /// Sent to all peers: rate limits that hold at once.
+    RateLimits(Vec<LimitReport>),
     /// Sent by the leader: which software versions serve.
     Versions(VersionsReport),
     /// Sent to some hosts: where streams began that the sender began.
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -14,7 +14,8 @@
 use crate::directory::{REFUSED_COOLDOWN, UNREACHABLE_COOLDOWN};
 use crate::exchange::ConnectFailure;
 use crate::leader;
-use crate::messages::{KnownLimit, LimitReport};
+use crate::messages::{KnownLimit, LimitReport, PeerMessage};
+use crate::peers::send_to_all;
 use crate::permits::heard_fraction;
 use crate::reach;
 use crate::state::{Host, HostState};
@@ -41,6 +42,8 @@
     /// Whether a response that names no rate limit shows that there is none: the upstream ran a
     /// request of a caller.
     pub ends_limit: bool,
+    /// Whether the upstream had no room for the request.
+    pub turned_away: bool,
 }
 
 /// Handles the notices in the head of a response.
@@ -58,8 +61,11 @@
             pause_ms = pause.as_millis() as u64,
         });
     }
+    note_brittle(host, source, notice.brittle);
     match notice.rate_limit {
-        LimitNotice::Limit(limit) => note_limit(host, source, Some(limit), "its response"),
+        LimitNotice::Limit(limit) => {
+            note_limit(host, source, Some(limit), "its response");
+        }
         LimitNotice::Unstated if source.ends_limit && status.is_success() => {
             note_limit(host, source, None, "its response");
         }
@@ -75,6 +81,36 @@
     }
 }
 
+/// Notes whether an upstream is brittle. One that turned a request away is asked rarely by all hosts
+/// together until it has run one: it has that rate limit.
+fn note_brittle(host: &Arc<Host>, source: NoticeSource<'_>, notice: LimitNotice) {
+    let NoticeSource { upstream, started_at, turned_away, .. } = source;
+    let now = host.now();
+    let rate = {
+        let brittle = &mut host.state().directory.brittle;
+        match notice {
+            LimitNotice::Limit(rejections) => {
+                brittle.note(now, upstream, started_at, Some(rejections));
+            }
+            LimitNotice::Unstated => brittle.note(now, upstream, started_at, None),
+            LimitNotice::Unreadable => {}
+        }
+        brittle.rate_when_full(now, upstream, started_at).filter(|_| turned_away)
+    };
+    let Some(rate) = rate else { return };
+    if note_limit(host, source, Some(rate), "its rejection") {
+        host.metrics.notices.with_label_values(&["brittle_full"]).inc();
+        let report = {
+            let state = host.state();
+            let entry = state.directory.rate_limits.get(upstream);
+            entry.map(|entry| build_limit_report(&state, upstream, entry))
+        };
+        // The next heartbeat would tell the others when they have sent more.
+        let message = PeerMessage::RateLimits(report.into_iter().collect());
+        send_to_all(host, &message);
+    }
+}
+
 /// Counts a notice that the adapter does not understand, and logs the first one with its name.
 fn count_unknown(host: &Host, upstream: &UpstreamId, name: &HeaderName) {
     let (label, is_new) = {
@@ -91,19 +127,19 @@
     }
 }
 
-/// Notes a rate limit or its end.
+/// Notes a rate limit or its end; returns whether that changes what was known.
 fn note_limit(
     host: &Arc<Host>,
     source: NoticeSource<'_>,
     limit: Option<RequestRate>,
     told_by: &str,
-) {
+) -> bool {
     let NoticeSource { upstream, started_at, asked_at, .. } = source;
     let now = host.now();
     let change =
         host.state().directory.rate_limits.note(now, upstream, started_at, limit, asked_at);
     if change != LimitChange::Changed {
-        return;
+        return false;
     }
     let label = if limit.is_some() { "rate_limit" } else { "rate_limit_ended" };
     host.metrics.notices.with_label_values(&[label]).inc();
@@ -116,6 +152,7 @@
     host.heartbeat_wanted.notify_one();
     host.holdings_changed.notify_waiters();
     leader::on_directory(host);
+    true
 }
 
 /// Returns what this host knows of an upstream's rate limit; `state` is that of the host.
@@ -165,6 +202,7 @@
             started_at: report.started_at,
             asked_at,
             ends_limit: true,
+            turned_away: false,
         };
         note_limit(host, source, report.limit, from.as_str());
     }
@@ -182,6 +220,7 @@
         started_at: *started_at,
         asked_at: known.unwrap_or_default(),
         ends_limit: true,
+        turned_away: false,
     };
     note_limit(host, source, *limit, issuer.as_str());
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -257,6 +257,7 @@
         PeerMessage::GrantAnswer(id, answer) => spending::on_grant_answer(host, id, answer),
         PeerMessage::PermitQuestion(question) => permits::on_question(host, &from, question),
         PeerMessage::PermitAnswer(id, answer) => permits::on_answer(host, id, answer),
+        PeerMessage::RateLimits(reports) => notices::absorb_limits(host, &from, &reports),
         PeerMessage::Versions(report) => history::on_report(host, &report),
         PeerMessage::StreamOrigins(reports) => origins::on_reports(host, &reports),
         PeerMessage::OriginQuestion(id, stream) => origins::on_question(host, &from, id, &stream),
