Send requests of cut hosts only through hosts in regions that they allow

A cut host passed it on through any host. Also: a host that is cut off itself, and probes anyway, is not asked once more by each heartbeat of another one that is. The heartbeat is boxed, as its message had become much larger than the others.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -451,6 +451,7 @@
         address: selected.address,
         started_at: selected.started_at,
         permit: selected.permit.clone(),
+        regions: admission.regions.clone(),
     };
     let headers = (host.wire.upstream_headers)(&call.headers, &head);
     // From here on, the request does not give way for memory.
--- a/crates/gateway/src/leader/orders.rs
+++ b/crates/gateway/src/leader/orders.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterellane_decisions::allowed_regions::AllowedRegions;
 use dotterellane_decisions::send_permits::{PermitRequest, SendPermit};
 use dotterellane_decisions::weight_plan::{OrderOutcome, PlannedOrder};
 use dotterellane_units::{ClockInstant, FenceNumber, UpstreamId};
@@ -177,7 +178,9 @@
             }));
         }
     };
-    let target = SendTarget { upstream: runner.clone(), address: peer, started_at, permit };
+    let regions = AllowedRegions::Any;
+    let target =
+        SendTarget { upstream: runner.clone(), address: peer, started_at, permit, regions };
     let sending = Exchange {
         method: &call.method,
         target: call.path,
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -16,7 +16,7 @@
 use dotterellane_decisions::upstream_pace::PaceSample;
 use dotterellane_decisions::weight_plan::{HeldModel, HostDemand};
 use dotterellane_units::{
-    FenceNumber, HostId, HostIncarnation, RequestRate, RowVersion, ServiceId, StoreEra,
+    DomainId, FenceNumber, HostId, HostIncarnation, RequestRate, RowVersion, ServiceId, StoreEra,
     StoreInstant, TeamId, TokenCount, UpstreamId,
 };
 use serde::{Deserialize, Serialize};
@@ -43,7 +43,7 @@
 #[derive(Deserialize, Serialize)]
 pub enum PeerMessage {
     /// Sent to all peers, several times a second.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// Sent to the leader: the demand for models by service, and upstreams that accept no
     /// connections.
     Demand(Vec<(ServiceId, HostDemand)>, Vec<UpstreamId>),
@@ -186,6 +186,8 @@
     pub configuration: ConfigurationMark,
     /// CPU capacity of the host, in thousandths of a core.
     pub processor: u32,
+    /// Failure domain of the host; `None` if it does not say.
+    pub domain: Option<DomainId>,
     /// Whether the host reaches upstreams.
     pub reach: ReachReport,
     /// Number of hosts, itself included, that the host observed of late; 0 if it does not know.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -140,7 +140,7 @@
     }
     drop(state);
     let addresses: Vec<SocketAddr> = addresses.into_iter().collect();
-    send_to(host, &PeerMessage::Heartbeat(heartbeat), &addresses);
+    send_to(host, &PeerMessage::Heartbeat(Box::new(heartbeat)), &addresses);
 }
 
 fn build_heartbeat(host: &Host, full: bool) -> Heartbeat {
@@ -170,6 +170,7 @@
         fresh: state.is_fresh(now) && state.reaches_store(),
         configuration: state.newest_configuration,
         processor: host.settings.processor,
+        domain: Some(host.settings.domain.clone()),
         reach: ReachReport::of(&state, now),
         hosts: u32::try_from(state.fleet_size.observed(now)).unwrap_or(0),
         spending: state.buckets.report(now, full),
@@ -226,6 +227,7 @@
             leaving: false,
             fresh: false,
             processor: 0,
+            domain: None,
             reach: ReachReport::default(),
             connected_at: None,
         };
@@ -241,10 +243,12 @@
             peer = from.as_str(),
             address = source.to_string().as_str(),
         });
-        send_to(host, &PeerMessage::Heartbeat(build_heartbeat(host, true)), &[source]);
+        send_to(host, &PeerMessage::Heartbeat(Box::new(build_heartbeat(host, true))), &[source]);
     }
     match message {
-        PeerMessage::Heartbeat(heartbeat) => accept_heartbeat(host, &from, incarnation, heartbeat),
+        PeerMessage::Heartbeat(heartbeat) => {
+            accept_heartbeat(host, &from, incarnation, *heartbeat);
+        }
         PeerMessage::Demand(demands, unreachable) => {
             leader::on_demand(host, &from, &demands, &unreachable);
         }
@@ -294,6 +298,7 @@
         peer.leaving = heartbeat.leaving;
         peer.fresh = heartbeat.fresh;
         peer.processor = heartbeat.processor;
+        peer.domain = heartbeat.domain;
         peer.reach = heartbeat.reach;
         peer.connected_at = heartbeat.reach.connected_at(now);
     }
@@ -331,7 +336,7 @@
         .collect();
     if !unknown.is_empty() && !heartbeat.leaving {
         let greeting = build_heartbeat(host, true);
-        send_to(host, &PeerMessage::Heartbeat(greeting), &unknown);
+        send_to(host, &PeerMessage::Heartbeat(Box::new(greeting)), &unknown);
     }
 }
 
@@ -390,7 +395,7 @@
                 host.state().fleet_size.note_observed(host.now(), addresses.len() + 1);
                 // Complete, as an empty one reads as if this host had nothing in flight and no lease.
                 let greeting = build_heartbeat(&host, true);
-                send_to(&host, &PeerMessage::Heartbeat(greeting), &addresses);
+                send_to(&host, &PeerMessage::Heartbeat(Box::new(greeting)), &addresses);
                 if registered {
                     greet_until_restored(&host, &addresses).await;
                     registered = false;
@@ -416,7 +421,7 @@
             listed.iter().copied().filter(|address| !heard.contains(address)).collect::<Vec<_>>()
         };
         if !unheard.is_empty() {
-            send_to(host, &PeerMessage::Heartbeat(build_heartbeat(host, true)), &unheard);
+            send_to(host, &PeerMessage::Heartbeat(Box::new(build_heartbeat(host, true))), &unheard);
         }
         pause = (pause * 2).min(LONGEST_GREETING_PAUSE);
     }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use dotterellane_decisions::allowed_regions::AllowedRegions;
 use dotterellane_decisions::heartbeat_pace::HeartbeatPace;
 use dotterellane_decisions::send_permits::{
     PermitBook, PermitDecision, PermitIssuer, PermitRequest, SendPermit,
@@ -76,6 +77,8 @@
     pub started_at: u64,
     /// The permit; `None` if the upstream had no limit when it was selected.
     pub permit: Option<Box<SendPermit>>,
+    /// Regions of the hosts through which the request may go.
+    pub regions: AllowedRegions,
 }
 
 impl SendPermits {
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -212,8 +212,12 @@
 /// if this one, which may be idle, has connected to one since.
 pub fn on_cut_off_peer(host: &Arc<Host>) {
     let now = host.now();
-    let connected_at = host.state().reach.connected_at();
-    if connected_at.is_none_or(|at| now.since(at) >= EVIDENCE_AGE) {
+    let (cut_off_at, connected_at) = {
+        let reach = &host.state().reach;
+        (reach.cut_off_at(), reach.connected_at())
+    };
+    // A host that is cut off itself probes anyway.
+    if cut_off_at.is_none() && connected_at.is_none_or(|at| now.since(at) >= EVIDENCE_AGE) {
         let host = host.clone();
         tokio::spawn(async move { ask_some(&host, |_| true).await });
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,8 +22,8 @@
 use dotterellane_decisions::weight_plan::{HostDemand, RunningModel, WaitingModel};
 use dotterellane_platform::{PlatformTable, RowFeed};
 use dotterellane_units::{
-    ClockInstant, ClockSource, HostId, HostIncarnation, ModelId, RowVersion, ServiceId, StoreEra,
-    TokenCount, UpstreamId,
+    ClockInstant, ClockSource, DomainId, HostId, HostIncarnation, ModelId, RowVersion, ServiceId,
+    StoreEra, TokenCount, UpstreamId,
 };
 use slab::Slab;
 use tokio::net::UdpSocket;
@@ -90,6 +90,8 @@
     pub fresh: bool,
     /// CPU capacity of its host, in thousandths of a core.
     pub processor: u32,
+    /// Failure domain of its host; `None` until it has said so.
+    pub domain: Option<DomainId>,
     /// Whether it reaches upstreams, by its last heartbeat.
     pub reach: ReachReport,
     /// When it last connected to an upstream.
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use dotterellane_decisions::allowed_regions::AllowedRegions;
 use dotterellane_units::UpstreamId;
 use dotterellane_upstream::connect::{connect_tcp_from, enable_dead_peer_detection};
 use futures::stream::BoxStream;
@@ -29,7 +30,7 @@
 use crate::exchange::{self, CONNECT_TIMEOUT, ConnectFailure, ExchangeError, bound_unread};
 use crate::permits::SendTarget;
 use crate::reach;
-use crate::state::{Host, HostState};
+use crate::state::{Host, HostState, KnownPeer};
 
 /// Time within which the serving host connects to the upstream.
 const SERVED_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -157,7 +158,7 @@
     let mut asked = Vec::new();
     let mut cause = "no host reaches upstreams".to_owned();
     while asked.len() < MAX_PEERS_ASKED {
-        let Some(peer) = pick_peer(&host.state(), host, &asked) else { break };
+        let Some(peer) = pick_peer(&host.state(), host, &target.regions, &asked) else { break };
         asked.push(peer);
         let asking = ask_for_tunnel(host, peer, target);
         let answered = timeout(CONNECT_TIMEOUT.min(span), asking).await;
@@ -188,10 +189,17 @@
     Err(ExchangeError::NotSent { peer: target.address, cause, failure })
 }
 
-/// Picks a host that reaches upstreams, at random by processor capacity.
-fn pick_peer(state: &HostState, host: &Host, asked: &[SocketAddr]) -> Option<SocketAddr> {
+/// Picks a host in one of `regions` that reaches upstreams, at random by processor capacity.
+fn pick_peer(
+    state: &HostState,
+    host: &Host,
+    regions: &AllowedRegions,
+    asked: &[SocketAddr],
+) -> Option<SocketAddr> {
+    let region_of = |peer: &KnownPeer| host.settings.regions.get(peer.domain.as_ref()?);
     let able = || {
         let able = state.reaching_peers(host.now());
+        let able = able.filter(|peer| regions.allow(region_of(peer)));
         able.filter(|peer| !asked.contains(&peer.address))
     };
     let weight = |processor: u32| u64::from(processor.max(1));
