Ask upstreams that are not known to be down before a crash is believed

The verdict asked two random upstreams, which may have crashed themselves, or nobody, as others had been asked less than 0.3 s before; in doubt it waits 0.7 s, and the caller comes again after 0.3 s. Each verdict now has a round that began after its failure, of three upstreams that were not down when last tried.

--- a/crates/decisions/src/upstream_reach.rs
+++ b/crates/decisions/src/upstream_reach.rs
@@ -16,20 +16,26 @@
 /// Time for which a failure counts.
 const FAILURE_SPAN: Duration = Duration::from_secs(3);
 
+/// Time for which an upstream that failed is no good witness.
+const DOWN_SPAN: Duration = Duration::from_secs(4);
+
 /// What a host's attempts to connect show of its reach.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamReach {
     /// Upstreams to which connecting failed since the last success, with the time of the failure.
     failed: BTreeMap<UpstreamId, ClockInstant>,
+    /// Upstreams to which connecting failed last, with the time of the failure.
+    down: BTreeMap<UpstreamId, ClockInstant>,
     connected_at: Option<ClockInstant>,
     cut_off_at: Option<ClockInstant>,
 }
 
 impl UpstreamReach {
-    /// Records that a connection to an upstream was established. Returns whether the host counted
-    /// as cut off until now.
-    pub fn note_connected(&mut self, now: ClockInstant) -> bool {
+    /// Records that a connection to `upstream` was established. Returns whether the host counted as
+    /// cut off until now.
+    pub fn note_connected(&mut self, now: ClockInstant, upstream: &UpstreamId) -> bool {
         self.failed.clear();
+        self.down.remove(upstream);
         self.connected_at = Some(now);
         self.cut_off_at.take().is_some()
     }
@@ -39,6 +45,8 @@
     pub fn note_failed(&mut self, now: ClockInstant, upstream: &UpstreamId, listed: usize) -> bool {
         self.failed.retain(|_, at| now.since(*at) < FAILURE_SPAN);
         self.failed.insert(upstream.clone(), now);
+        self.down.retain(|_, at| now.since(*at) < DOWN_SPAN);
+        self.down.insert(upstream.clone(), now);
         let is_new = self.cut_off_at.is_none() && self.failed.len() >= MIN_FAILED.min(listed);
         if is_new {
             self.cut_off_at = self.failed.values().min().copied();
@@ -52,6 +60,11 @@
         self.cut_off_at
     }
 
+    /// Returns whether connecting to `upstream` failed last, so that another failure says little.
+    pub fn is_down(&self, now: ClockInstant, upstream: &UpstreamId) -> bool {
+        self.down.get(upstream).is_some_and(|at| now.since(*at) < DOWN_SPAN)
+    }
+
     /// Returns whether connecting failed since a connection was last established.
     pub fn is_in_doubt(&self) -> bool {
         !self.failed.is_empty()
--- a/crates/decisions/tests/upstream_reach.rs
+++ b/crates/decisions/tests/upstream_reach.rs
@@ -48,7 +48,7 @@
     let mut reach = UpstreamReach::default();
     for upstream in ["a", "b", "c", "d", "e"] {
         expect_that!(reach.note_failed(at(0), &name(upstream), 13), eq(false));
-        expect_that!(reach.note_connected(at(1)), eq(false));
+        expect_that!(reach.note_connected(at(1), &name("z")), eq(false));
     }
     expect_that!(reach.is_in_doubt(), eq(false));
     expect_that!(reach.connected_at(), some(eq(at(1))));
@@ -59,6 +59,18 @@
     let mut reach = UpstreamReach::default();
     expect_that!(reach.note_failed(at(0), &name("a"), 2), eq(false));
     expect_that!(reach.note_failed(at(0), &name("b"), 2), eq(true));
-    expect_that!(reach.note_connected(at(9_000)), eq(true));
+    expect_that!(reach.note_connected(at(9_000), &name("a")), eq(true));
     expect_that!(reach.cut_off_at(), none());
 }
+
+// Guards against witnesses that are down themselves, so that a crash cannot be told from a cut.
+#[gtest]
+fn upstream_that_failed_last_is_down_for_a_while() {
+    let mut reach = UpstreamReach::default();
+    reach.note_failed(at(0), &name("a"), 13);
+    reach.note_connected(at(1), &name("b"));
+    expect_that!(reach.is_down(at(3_999), &name("a")), eq(true));
+    expect_that!(reach.is_down(at(4_000), &name("a")), eq(false));
+    reach.note_connected(at(2), &name("a"));
+    expect_that!(reach.is_down(at(3), &name("a")), eq(false));
+}
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,6 +1,6 @@
 //! Whether this host reaches upstreams, and whether the other hosts do.
 //!
-//! A connection that fails may show that the upstream is down or that this host is cut off. Two
+//! A connection that fails may show that the upstream is down or that this host is cut off. Three
 //! other upstreams are asked then; while the host counts as cut off, one upstream after the other is
 //! probed until a connection is established, and requests go through other hosts that reach upstreams.
 
@@ -25,7 +25,7 @@
 use crate::tunnels::{TunnelStream, open_tunnel};
 
 /// Number of other upstreams that are asked whether this host is cut off.
-const WITNESSES: usize = 2;
+const WITNESSES: usize = 3;
 
 /// Minimum time between two rounds of asking them.
 const WITNESS_INTERVAL: Duration = Duration::from_millis(300);
@@ -152,7 +152,7 @@
 /// Records the result of connecting to an upstream; asks others if it failed.
 pub fn note_connect(host: &Arc<Host>, upstream: &UpstreamId, failure: Option<ConnectFailure>) {
     match failure {
-        None => note_connected(host),
+        None => note_connected(host, upstream),
         Some(ConnectFailure::Unrelated) => {}
         Some(ConnectFailure::Refused | ConnectFailure::Unanswered) => {
             note_failed(host, upstream);
@@ -162,10 +162,10 @@
     }
 }
 
-fn note_connected(host: &Host) {
+fn note_connected(host: &Host, upstream: &UpstreamId) {
     let was_cut_off = {
         let mut state = host.state();
-        let was_cut_off = state.reach.note_connected(host.now());
+        let was_cut_off = state.reach.note_connected(host.now(), upstream);
         update_bypass(host, &mut state);
         was_cut_off
     };
@@ -195,7 +195,15 @@
 /// Returns whether `upstream`, to which connecting failed, is down, so that this may be told to
 /// others; not if this host is cut off.
 pub async fn is_down(host: &Arc<Host>, upstream: &UpstreamId) -> bool {
-    ask_witnesses(host, upstream).await;
+    let failed_at = host.now();
+    {
+        let _turn = host.witness_turn.lock().await;
+        let asked_at = host.state().witnesses_asked_at;
+        // What others asked since the failure answers for this one, too.
+        if asked_at.is_none_or(|at| at < failed_at) {
+            probe_some(host, |name| name != upstream).await;
+        }
+    }
     let others_word = {
         let state = host.state();
         if !state.reach.is_in_doubt() || state.peers.is_empty() {
@@ -229,17 +237,28 @@
 }
 
 async fn ask_some<F>(host: &Arc<Host>, is_wanted: F)
+where
+    F: Fn(&UpstreamId) -> bool,
+{
+    let asked_at = host.state().witnesses_asked_at;
+    let is_due = asked_at.is_none_or(|at| host.now().since(at) >= WITNESS_INTERVAL);
+    if is_due {
+        probe_some(host, is_wanted).await;
+    }
+}
+
+/// Connects to some upstreams, those first that were not down when last tried.
+async fn probe_some<F>(host: &Arc<Host>, is_wanted: F)
 where
     F: Fn(&UpstreamId) -> bool,
 {
     let witnesses = {
         let now = host.now();
         let mut state = host.state();
-        if state.witnesses_asked_at.is_some_and(|at| now.since(at) < WITNESS_INTERVAL) {
-            return;
-        }
         state.witnesses_asked_at = Some(now);
-        pick_upstreams(&state, WITNESSES, is_wanted)
+        let is_good = |name: &UpstreamId| is_wanted(name) && !state.reach.is_down(now, name);
+        let good = pick_upstreams(&state, WITNESSES, is_good);
+        if good.is_empty() { pick_upstreams(&state, WITNESSES, is_wanted) } else { good }
     };
     join_all(witnesses.iter().map(|(name, address)| probe(host, name, *address))).await;
 }
@@ -257,7 +276,7 @@
 
 async fn probe(host: &Arc<Host>, upstream: &UpstreamId, address: SocketAddr) {
     match timeout(PROBE_TIMEOUT, connect_tcp(address)).await {
-        Ok(Ok(_connection)) => note_connected(host),
+        Ok(Ok(_connection)) => note_connected(host, upstream),
         Ok(Err(error)) if error.kind() != ErrorKind::ConnectionRefused => {}
         Ok(Err(_)) | Err(_) => note_failed(host, upstream),
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -254,6 +254,8 @@
     pub response_memory: ResponseMemory,
     /// Memory held for callers.
     pub caller_memory: Arc<CallerMemory>,
+    /// Held while upstreams are asked whether this host reaches any.
+    pub witness_turn: tokio::sync::Mutex<()>,
     /// Places for connections that this host passes on for others.
     pub tunnel_places: Arc<Semaphore>,
     state: Mutex<HostState>,
@@ -326,6 +328,7 @@
             archive_reading: ArchiveReading::default(),
             response_memory: ResponseMemory::new(bounds.collected),
             caller_memory: Arc::new(caller_memory),
+            witness_turn: tokio::sync::Mutex::default(),
             tunnel_places: Arc::new(Semaphore::new(tunnels::places(bounds.connections))),
             settings,
             incarnation,
