Read the list of hosts again while some are unheard, and wait for them with the slack

Cause: the list of hosts was read once, right after a host had registered, and its length divides the slack. Who registers first knows of itself alone: 1, 1/2, 1/3 ... of the slack instead of 1/N each, for ten minutes where hosts stay cut off. Change: the list is read again with each repeated greeting while listed hosts, or all, are unheard. In the window after the first start of a fleet, a host has a part of the slack only once it has heard all hosts that it lists. Of two hosts that don't hear each other the one registered later lists the other, so they can't both have one; after the window the list is complete. Ruled out: a send that is not counted, as the two tests pass with nothing else changed. A host row whose key holds no valid name is no longer greeted; a warning says so.

--- a/crates/decisions/src/fleet_size.rs
+++ b/crates/decisions/src/fleet_size.rs
@@ -3,10 +3,10 @@
 //! A host that has just started hears nobody, and one that is cut off ceases to hear the others,
 //! which go on. Neither may take their parts for its own, so the largest number of late counts.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
-use dotterellane_units::ClockInstant;
+use dotterellane_units::{ClockInstant, HostId};
 
 /// Time for which a number of hosts is remembered after it was last seen; longer than usual cuts.
 const MEMORY_SPAN: Duration = Duration::from_secs(600);
@@ -19,10 +19,36 @@
 pub struct FleetSize {
     observed: RecentMaximum,
     stated: RecentMaximum,
+    /// Other hosts of the last list that were not heard; `None` before one was read.
+    unheard: Option<BTreeSet<HostId>>,
 }
 
 impl FleetSize {
-    /// Records how many hosts this one knows: by hearing them, or by a complete list.
+    /// Records a complete list of the `others`, which were registered when it was read;
+    /// `is_heard` returns whether this host has heard one of them.
+    pub fn note_listed<H>(&mut self, now: ClockInstant, others: BTreeSet<HostId>, is_heard: H)
+    where
+        H: Fn(&HostId) -> bool,
+    {
+        self.note_observed(now, others.len() + 1);
+        self.unheard = Some(others.into_iter().filter(|other| !is_heard(other)).collect());
+    }
+
+    /// Records that this host has heard `other`.
+    pub fn note_heard(&mut self, other: &HostId) {
+        if let Some(unheard) = &mut self.unheard {
+            unheard.remove(other);
+        }
+    }
+
+    /// Returns whether this host has read which hosts there are and has heard all of them. Of hosts
+    /// that start together, those for which it is true know of each other, also while others are
+    /// cut off.
+    pub fn hears_all_listed(&self) -> bool {
+        self.unheard.as_ref().is_some_and(BTreeSet::is_empty)
+    }
+
+    /// Records how many hosts this one knows, by hearing them or by a list.
     pub fn note_observed(&mut self, now: ClockInstant, hosts: usize) {
         self.observed.note(now, hosts);
     }
--- a/crates/decisions/src/retry_limiter.rs
+++ b/crates/decisions/src/retry_limiter.rs
@@ -21,11 +21,11 @@
 
 impl RetryLimits {
     /// Returns the part of one host in these limits of a fleet of `hosts`. What the slack allows is
-    /// counted by the hosts that spent it: one that does not know the fleet, or may have `restarted`
-    /// within the window, keeps to the ratio of its own requests.
+    /// counted by the hosts that spent it: one that does not know the fleet, or is `unsettled` (it may
+    /// have spent its part before a restart, or others theirs), keeps to the ratio of its own requests.
     #[expect(clippy::cast_precision_loss, reason = "hosts are few")]
-    pub fn part(&self, hosts: Option<usize>, restarted: bool) -> Self {
-        let hosts = hosts.filter(|_| !restarted);
+    pub fn part(&self, hosts: Option<usize>, unsettled: bool) -> Self {
+        let hosts = hosts.filter(|_| !unsettled);
         let slack = hosts.map_or(0.0, |hosts| self.slack / hosts as f64);
         Self { slack, ..*self }
     }
--- a/crates/decisions/tests/retry_fleet.rs
+++ b/crates/decisions/tests/retry_fleet.rs
@@ -1,12 +1,12 @@
 //! The budget of retries of a whole fleet, whose hosts start, are cut off from each other and stand
 //! still by turns, without a network.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 use dotterellane_decisions::fleet_size::FleetSize;
 use dotterellane_decisions::retry_limiter::{RetryLimiter, RetryLimits};
-use dotterellane_units::ClockInstant;
+use dotterellane_units::{ClockInstant, HostId};
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -30,12 +30,17 @@
 /// Steps after which a host that is not heard counts as gone.
 const EXPIRY: u64 = 400;
 
+/// Steps at which hosts that miss others read the list again.
+const LIST_READS: [u64; 5] = [10, 30, 70, 150, 310];
+
 /// Retries that each request asks for.
 const RETRIES: u32 = 7;
 
 struct SimulatedHost {
     limiter: RetryLimiter,
     size: FleetSize,
+    /// Whether this is the first start of a whole fleet.
+    first_start: bool,
     started: u64,
     /// When each host was last heard.
     heard: Vec<Option<u64>>,
@@ -48,19 +53,30 @@
 }
 
 impl SimulatedHost {
-    fn new(hosts: usize, started: u64, reads_list: bool) -> Self {
-        let mut size = FleetSize::default();
-        if reads_list {
-            size.note_observed(instant(started), hosts);
-        }
+    fn new(hosts: usize, started: u64) -> Self {
         let heard = vec![None; hosts];
-        let (limiter, waiting) = (RetryLimiter::default(), VecDeque::new());
-        Self { limiter, size, started, heard, side: 0, away_until: 0, waiting }
+        let (limiter, size, waiting) =
+            (RetryLimiter::default(), FleetSize::default(), VecDeque::new());
+        let (first_start, side, away_until) = (false, 0, 0);
+        Self { limiter, size, first_start, started, heard, side, away_until, waiting }
+    }
+
+    /// Reads a list that holds the others of the first `registered` hosts.
+    fn read_list(&mut self, own: usize, registered: usize, step: u64) {
+        let others = (0..registered).filter(|number| *number != own).map(host_id);
+        let heard: BTreeSet<HostId> = (0..)
+            .zip(&self.heard)
+            .filter(|(_, at)| at.is_some())
+            .map(|(h, _)| host_id(h))
+            .collect();
+        self.size.note_listed(instant(step), others.collect(), |other| heard.contains(other));
     }
 
     fn limits(&self, step: u64) -> RetryLimits {
         let running = instant(step).since(instant(self.started));
-        FLEET.part(self.size.hosts(instant(step)), running < FLEET.window)
+        let knows_all = self.first_start && self.size.hears_all_listed();
+        let unsettled = running < FLEET.window && !knows_all;
+        FLEET.part(self.size.hosts(instant(step)), unsettled)
     }
 
     /// Handles one request whose retries wait for up to a second each. Returns nothing: what is sent
@@ -85,6 +101,10 @@
     }
 }
 
+fn host_id(number: usize) -> HostId {
+    format!("h{number}").parse().expect("an id")
+}
+
 fn instant(step: u64) -> ClockInstant {
     ClockInstant::from_millis(1_000_000 + step * STEP)
 }
@@ -100,22 +120,42 @@
     frozen: f64,
     /// Whether hosts that start cannot read which hosts there are.
     no_list: bool,
+    /// Whether all hosts start for the first time, one after the other, and read the list just after
+    /// they are registered; those that are cut off are so from then on.
+    starts: bool,
+}
+
+/// Starts the hosts of a day. Those of a fleet that starts for the first time list only the hosts
+/// before them, the others all.
+fn start_fleet(hosts: usize, troubles: Troubles, random: &mut Pcg64Mcg) -> Vec<SimulatedHost> {
+    let start = |own| {
+        let mut host = SimulatedHost::new(hosts, 0);
+        host.first_start = troubles.starts;
+        host.read_list(own, if troubles.starts { own + 1 } else { hosts }, 0);
+        if troubles.starts && random.random_bool(troubles.cut_off) {
+            host.side = u32::try_from(own + 1).expect("few");
+        }
+        host
+    };
+    (0..hosts).map(start).collect()
 }
 
 /// Plays a day on which callers repeat at an outage of all upstreams; returns by how many retries the
 /// worst window exceeds the fleet's budget.
 fn worst_excess(hosts: usize, troubles: Troubles, seed: u64) -> f64 {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
-    let mut fleet: Vec<SimulatedHost> =
-        (0..hosts).map(|_| SimulatedHost::new(hosts, 0, true)).collect();
+    let mut fleet = start_fleet(hosts, troubles, &mut random);
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for step in 0..STEPS {
         if [300, 360, 420].contains(&step) {
-            for host in &mut fleet {
+            for (own, host) in fleet.iter_mut().enumerate() {
                 if random.random_bool(troubles.killed) {
                     let side = host.side;
-                    *host = SimulatedHost::new(hosts, step + 10, !troubles.no_list);
+                    *host = SimulatedHost::new(hosts, step + 10);
                     (host.side, host.away_until) = (side, step + 10);
+                    if !troubles.no_list {
+                        host.read_list(own, hosts, step + 10);
+                    }
                 }
             }
         }
@@ -132,6 +172,11 @@
                 }
             }
         }
+        if troubles.starts && LIST_READS.contains(&step) {
+            for (own, host) in fleet.iter_mut().enumerate() {
+                host.read_list(own, hosts, step);
+            }
+        }
         if step % HEARTBEAT == 0 {
             exchange_heartbeats(&mut fleet, step);
         }
@@ -165,7 +210,9 @@
         }
         for (other, (side, hosts, is_up)) in told.iter().enumerate() {
             if other != own && *is_up && *side == host.side {
-                host.heard[other] = Some(step);
+                if host.heard[other].replace(step).is_none() {
+                    host.size.note_heard(&host_id(other));
+                }
                 host.size.note_stated(now, *hosts);
             }
         }
@@ -199,7 +246,8 @@
     }
 }
 
-const CALM: Troubles = Troubles { killed: 0.0, cut_off: 0.0, frozen: 0.0, no_list: false };
+const CALM: Troubles =
+    Troubles { killed: 0.0, cut_off: 0.0, frozen: 0.0, no_list: false, starts: false };
 
 #[gtest]
 fn fleet_keeps_to_its_budget_while_all_hosts_run() {
@@ -225,6 +273,14 @@
     expect_within_budget(Troubles { cut_off: 0.7, frozen: 0.4, ..CALM });
 }
 
+// Guards against hosts that go by a list which they read before the others were registered.
+#[gtest]
+fn fleet_keeps_to_its_budget_while_hosts_start_one_after_another() {
+    expect_within_budget(Troubles { starts: true, ..CALM });
+    expect_within_budget(Troubles { starts: true, cut_off: 0.7, ..CALM });
+    expect_within_budget(Troubles { starts: true, cut_off: 1.0, ..CALM });
+}
+
 // Guards against a fleet that has no retries left to it: the slack is there to be used.
 #[gtest]
 fn fleet_uses_its_slack_while_all_hosts_run() {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Sends and receives datagrams between daemons: heartbeats, demand, and messages of other modules.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +8,7 @@
 use dotterellane_decisions::heartbeat_pace::HeartbeatPace;
 use dotterellane_decisions::team_buckets::PEER_EXPIRY;
 use dotterellane_decisions::upstream_pace::MAX_SHARED_SAMPLES;
-use dotterellane_platform::{RowWrite, TableRow, TableTransaction};
+use dotterellane_platform::{RowWrite, TableError, TableRow, TableTransaction};
 use dotterellane_units::{HostId, HostIncarnation};
 use rand::seq::IteratorRandom;
 use tokio::time::{sleep, timeout};
@@ -22,7 +22,7 @@
 use crate::permits;
 use crate::reach::{self, ReachReport};
 use crate::spending;
-use crate::state::{Host, KnownLeader, KnownPeer};
+use crate::state::{Host, HostState, KnownLeader, KnownPeer};
 use crate::stream_versions::{history, origins};
 
 /// One in this many heartbeats is a full one, which introduces peers to each other.
@@ -239,6 +239,7 @@
     }
     drop(state);
     if is_new {
+        host.state().fleet_size.note_heard(&from);
         spdlog::info!("peer appeared", kv: {
             peer = from.as_str(),
             address = source.to_string().as_str(),
@@ -387,17 +388,13 @@
                 Err(error) => log_failure("register host", &error.to_string()),
             }
         }
-        match host.platform.table.scan(HOST_ROW_PREFIX).await {
-            Ok(rows) => {
-                let addresses = rows.iter().filter_map(read_host_row);
-                let addresses: Vec<SocketAddr> =
-                    addresses.filter(|known| *known != host.settings.peers).collect();
-                host.state().fleet_size.note_observed(host.now(), addresses.len() + 1);
+        match read_hosts(&host).await {
+            Ok(addresses) => {
                 // Complete, as an empty one reads as if this host had nothing in flight and no lease.
                 let greeting = build_heartbeat(&host, true);
                 send_to(&host, &PeerMessage::Heartbeat(Box::new(greeting)), &addresses);
                 if registered {
-                    greet_until_restored(&host, &addresses).await;
+                    greet_until_restored(&host, addresses).await;
                     registered = false;
                     continue;
                 }
@@ -408,18 +405,34 @@
     }
 }
 
+/// Reads which hosts are registered; returns the addresses of the others.
+async fn read_hosts(host: &Host) -> Result<Vec<SocketAddr>, TableError> {
+    let rows = host.platform.table.scan(HOST_ROW_PREFIX).await?;
+    let own = &host.settings.host;
+    let others: BTreeMap<HostId, SocketAddr> =
+        rows.iter().filter_map(read_host_row).filter(|(other, _)| other != own).collect();
+    let addresses = others.values().copied().collect();
+    let names = others.into_keys().collect();
+    let mut state = host.state();
+    let HostState { fleet_size, peers, .. } = &mut *state;
+    fleet_size.note_listed(host.now(), names, |other| peers.contains_key(other));
+    Ok(addresses)
+}
+
 /// Repeats greetings to those of the `listed` hosts that are still unheard, as datagrams may be
-/// lost: a host that hears nobody takes the whole rate of each team for its own. Returns when the
-/// store comes back from an older copy.
-async fn greet_until_restored(host: &Arc<Host>, listed: &[SocketAddr]) {
+/// lost: a host that hears nobody takes the whole rate of each team for its own. Meanwhile the list
+/// is read again, as more hosts may have been registered. Returns when the store comes back from an
+/// older copy.
+async fn greet_until_restored(host: &Arc<Host>, mut listed: Vec<SocketAddr>) {
     let mut pause = FIRST_GREETING_PAUSE;
     while timeout(pause, host.store_restored.notified()).await.is_err() {
-        let unheard = {
-            let state = host.state();
-            let heard: BTreeSet<SocketAddr> =
-                state.peers.values().map(|peer| peer.address).collect();
-            listed.iter().copied().filter(|address| !heard.contains(address)).collect::<Vec<_>>()
-        };
+        if !hears_all(host, &listed) {
+            match read_hosts(host).await {
+                Ok(addresses) => listed = addresses,
+                Err(error) => log_failure("read hosts again", &error.to_string()),
+            }
+        }
+        let unheard = unheard_of(host, &listed);
         if !unheard.is_empty() {
             send_to(host, &PeerMessage::Heartbeat(Box::new(build_heartbeat(host, true))), &unheard);
         }
@@ -427,13 +440,26 @@
     }
 }
 
-/// Parses the address in a host's row; logs a warning and returns `None` if it is invalid.
-fn read_host_row(row: &TableRow) -> Option<SocketAddr> {
+/// Returns whether this host hears some other and all of the `listed` ones.
+fn hears_all(host: &Host, listed: &[SocketAddr]) -> bool {
+    !host.state().peers.is_empty() && unheard_of(host, listed).is_empty()
+}
+
+fn unheard_of(host: &Host, listed: &[SocketAddr]) -> Vec<SocketAddr> {
+    let state = host.state();
+    let heard: BTreeSet<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
+    listed.iter().copied().filter(|address| !heard.contains(address)).collect()
+}
+
+/// Parses a host's row; logs a warning and returns `None` if it is invalid.
+fn read_host_row(row: &TableRow) -> Option<(HostId, SocketAddr)> {
+    let name = row.key.strip_prefix(HOST_ROW_PREFIX).and_then(|name| name.parse().ok());
     let address = std::str::from_utf8(&row.value).ok().and_then(|text| text.parse().ok());
-    if address.is_none() {
-        spdlog::warn!("host row holds no address", kv: { row = row.key.as_str() });
+    let host = name.zip(address);
+    if host.is_none() {
+        spdlog::warn!("host row holds no name and address", kv: { row = row.key.as_str() });
     }
-    address
+    host
 }
 
 fn log_failure(step: &str, cause: &str) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -381,8 +381,9 @@
         self.metrics.retry_hosts.set(shown);
         let HostTuning { retry_ratio: ratio, retry_slack: slack, retry_window: window, .. } =
             state.tuning;
-        let restarted = !self.settings.first_start && now.since(self.started) < window;
-        RetryLimits { ratio, slack, window }.part(hosts, restarted)
+        let knows_all = self.settings.first_start && state.fleet_size.hears_all_listed();
+        let unsettled = now.since(self.started) < window && !knows_all;
+        RetryLimits { ratio, slack, window }.part(hosts, unsettled)
     }
 }
 
