Divide the tunnels of a host between the hosts that ask for them

One cut host with many requests took all tunnels of the host that served it, so the callers of other cut hosts were refused there. Cause: one pool of places for all, first come first served. Class: a slot that one user can use up for all others. Change: a host gets another place only while it has fewer than are free (decisions/tunnel_places); one alone has half, the next a quarter, without a number of hosts that would have to be known. The most that one host gets falls from 256 to 128.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod store_clock;
 pub mod stream_versions;
 pub mod team_buckets;
+pub mod tunnel_places;
 pub mod upstream_choice;
 pub mod upstream_pace;
 pub mod upstream_reach;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use dotterellane_decisions::store_clock::StoreClock;
 use dotterellane_decisions::stream_versions::{StreamOrigin, StreamOrigins};
 use dotterellane_decisions::team_buckets::TeamBuckets;
+use dotterellane_decisions::tunnel_places::TunnelPlaces;
 use dotterellane_decisions::upstream_pace::UpstreamPaces;
 use dotterellane_decisions::upstream_reach::UpstreamReach;
 use dotterellane_decisions::weight_plan::{HostDemand, RunningModel, WaitingModel};
@@ -27,7 +28,7 @@
 };
 use slab::Slab;
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -257,7 +258,7 @@
     /// Held while upstreams are asked whether this host reaches any.
     pub witness_turn: tokio::sync::Mutex<()>,
     /// Places for connections that this host passes on for others.
-    pub tunnel_places: Arc<Semaphore>,
+    pub tunnel_places: Mutex<TunnelPlaces>,
     state: Mutex<HostState>,
 }
 
@@ -329,7 +330,7 @@
             response_memory: ResponseMemory::new(bounds.collected),
             caller_memory: Arc::new(caller_memory),
             witness_turn: tokio::sync::Mutex::default(),
-            tunnel_places: Arc::new(Semaphore::new(tunnels::places(bounds.connections))),
+            tunnel_places: Mutex::new(TunnelPlaces::new(tunnels::places(bounds.connections))),
             settings,
             incarnation,
             started: clock.now(),
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -6,14 +6,15 @@
 //! must not look like a response that ends with its connection.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use dotterellane_decisions::allowed_regions::AllowedRegions;
+use dotterellane_decisions::tunnel_places::TunnelPlaces;
 use dotterellane_units::UpstreamId;
 use dotterellane_upstream::connect::{connect_tcp_from, enable_dead_peer_detection};
 use futures::stream::BoxStream;
@@ -234,12 +235,35 @@
     Ok((TunnelStream::new(reader, framed.into_inner()), answer))
 }
 
+/// A place for a tunnel of the host at `source`; given back on drop.
+struct TunnelPlace<'a> {
+    host: &'a Host,
+    source: IpAddr,
+}
+
+impl<'a> TunnelPlace<'a> {
+    fn take(host: &'a Host, source: IpAddr) -> Option<Self> {
+        let granted = lock_places(host).take(source);
+        granted.then_some(Self { host, source })
+    }
+}
+
+impl Drop for TunnelPlace<'_> {
+    fn drop(&mut self) {
+        lock_places(self.host).release(self.source);
+    }
+}
+
+fn lock_places(host: &Host) -> MutexGuard<'_, TunnelPlaces> {
+    host.tunnel_places.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Serves tunnels of other hosts until the daemon ends.
 pub async fn serve_tunnels(listener: TcpListener, host: Arc<Host>) {
     loop {
         match listener.accept().await {
             Ok((stream, source)) if is_peer(&host, source) => {
-                host.tasks.spawn(serve_tunnel(stream, host.clone()));
+                host.tasks.spawn(serve_tunnel(stream, source.ip(), host.clone()));
             }
             Ok((_, source)) => spdlog::warn!("tunnel of an unknown host refused", kv: {
                 source = source.to_string().as_str(),
@@ -256,9 +280,9 @@
     host.state().peers.values().any(|peer| peer.address.ip() == source.ip())
 }
 
-async fn serve_tunnel(stream: TcpStream, host: Arc<Host>) {
+async fn serve_tunnel(stream: TcpStream, source: IpAddr, host: Arc<Host>) {
     let outcome = tokio::select! {
-        served = pass_on(&host, stream) => match served {
+        served = pass_on(&host, stream, source) => match served {
             Ok(TunnelAnswer::Open) => "passed_on",
             Ok(TunnelAnswer::Refused | TunnelAnswer::Unanswered) => "upstream_failed",
             Ok(TunnelAnswer::NotServed) => "not_served",
@@ -269,7 +293,7 @@
     host.metrics.tunnels.with_label_values(&["served", outcome]).inc();
 }
 
-async fn pass_on(host: &Arc<Host>, stream: TcpStream) -> io::Result<TunnelAnswer> {
+async fn pass_on(host: &Arc<Host>, stream: TcpStream, source: IpAddr) -> io::Result<TunnelAnswer> {
     enable_dead_peer_detection(&stream)?;
     bound_unread(&stream);
     let (reader, mut writer) = stream.into_split();
@@ -277,7 +301,7 @@
     let request = timeout(CONNECT_TIMEOUT, requests.next()).await?;
     let Some(request) = request.transpose()? else { return Ok(TunnelAnswer::NotServed) };
     let request = postcard::from_bytes(&request).map_err(io::Error::other)?;
-    let place = host.tunnel_places.clone().try_acquire_owned().ok();
+    let place = TunnelPlace::take(host, source);
     let (answer, upstream) = match &place {
         Some(_) => connect_for(host, &request).await,
         None => (TunnelAnswer::NotServed, None),
