Count a brittle upstream as full only where it says that it has no room

Cause: every refusal that says that nothing ran counted as want of room. Evidence: notice_of_a_full_upstream_is_the_refusal_for_want_of_room; it tests a field that is new, so it could not fail before. brittle_upstreams passes. A 503 whose request's time ran out in the queue can't be told from a full one and still counts.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -98,6 +98,8 @@
     pub rate_limit: LimitNotice,
     /// How many requests a second it can turn away for want of room before it falls over.
     pub brittle: LimitNotice,
+    /// Whether it did not run a request as it has no room.
+    pub full: bool,
     /// Names of headers by which it announces something that the adapter does not understand.
     pub unknown: Vec<HeaderName>,
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -599,7 +599,7 @@
             started_at: selected.started_at,
             asked_at,
             ends_limit: kind == ResponseKind::Run,
-            turned_away: kind == ResponseKind::NotRun,
+            not_run: kind == ResponseKind::NotRun,
         };
         notices::record(host, source, response.status(), response.headers());
     }
--- a/crates/gateway/src/leader/orders.rs
+++ b/crates/gateway/src/leader/orders.rs
@@ -206,7 +206,7 @@
             started_at,
             asked_at,
             ends_limit: false,
-            turned_away: false,
+            not_run: false,
         };
         notices::record(host, source, head.status(), head.headers());
         read_whole(peer, head, ORDER_TIMEOUT, &host.response_memory).await
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, HeaderName, StatusCode};
 use rand::seq::IteratorRandom;
 
-use crate::call::LimitNotice;
+use crate::call::{LimitNotice, UpstreamNotice};
 use crate::directory::{REFUSED_COOLDOWN, UNREACHABLE_COOLDOWN};
 use crate::exchange::ConnectFailure;
 use crate::leader;
@@ -42,8 +42,8 @@
     /// Whether a response that names no rate limit shows that there is none: the upstream ran a
     /// request of a caller.
     pub ends_limit: bool,
-    /// Whether the upstream had no room for the request.
-    pub turned_away: bool,
+    /// Whether the upstream did not run a request of a caller.
+    pub not_run: bool,
 }
 
 /// Handles the notices in the head of a response.
@@ -61,7 +61,7 @@
             pause_ms = pause.as_millis() as u64,
         });
     }
-    note_brittle(host, source, notice.brittle);
+    note_brittle(host, source, &notice);
     match notice.rate_limit {
         LimitNotice::Limit(limit) => {
             note_limit(host, source, Some(limit), "its response");
@@ -83,19 +83,19 @@
 
 /// Notes whether an upstream is brittle. One that turned a request away is asked rarely by all hosts
 /// together until it has run one: it has that rate limit.
-fn note_brittle(host: &Arc<Host>, source: NoticeSource<'_>, notice: LimitNotice) {
-    let NoticeSource { upstream, started_at, turned_away, .. } = source;
+fn note_brittle(host: &Arc<Host>, source: NoticeSource<'_>, notice: &UpstreamNotice) {
+    let NoticeSource { upstream, started_at, not_run, .. } = source;
     let now = host.now();
     let rate = {
         let brittle = &mut host.state().directory.brittle;
-        match notice {
+        match notice.brittle {
             LimitNotice::Limit(rejections) => {
                 brittle.note(now, upstream, started_at, Some(rejections));
             }
             LimitNotice::Unstated => brittle.note(now, upstream, started_at, None),
             LimitNotice::Unreadable => {}
         }
-        brittle.rate_when_full(now, upstream, started_at).filter(|_| turned_away)
+        brittle.rate_when_full(now, upstream, started_at).filter(|_| not_run && notice.full)
     };
     let Some(rate) = rate else { return };
     if note_limit(host, source, Some(rate), "its rejection") {
@@ -202,7 +202,7 @@
             started_at: report.started_at,
             asked_at,
             ends_limit: true,
-            turned_away: false,
+            not_run: false,
         };
         note_limit(host, source, report.limit, from.as_str());
     }
@@ -220,7 +220,7 @@
         started_at: *started_at,
         asked_at: known.unwrap_or_default(),
         ends_limit: true,
-        turned_away: false,
+        not_run: false,
     };
     note_limit(host, source, *limit, issuer.as_str());
 }
