Keep the low rate of a full brittle upstream beside a limit that it announces

Cause: both stand in one entry, and the announced limit was noted last. Hosts told each other both by turns. Change: the lower one of the two counts in a response that turns a request away; the next request that runs puts the announced one back.

--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -61,15 +61,18 @@
             pause_ms = pause.as_millis() as u64,
         });
     }
-    note_brittle(host, source, &notice);
-    match notice.rate_limit {
-        LimitNotice::Limit(limit) => {
+    match (note_brittle(host, source, &notice), notice.rate_limit) {
+        (Some(rate), LimitNotice::Limit(limit)) => note_full(host, source, rate.min(limit)),
+        (Some(rate), LimitNotice::Unstated | LimitNotice::Unreadable) => {
+            note_full(host, source, rate);
+        }
+        (None, LimitNotice::Limit(limit)) => {
             note_limit(host, source, Some(limit), "its response");
         }
-        LimitNotice::Unstated if source.ends_limit && status.is_success() => {
+        (None, LimitNotice::Unstated) if source.ends_limit && status.is_success() => {
             note_limit(host, source, None, "its response");
         }
-        LimitNotice::Unstated | LimitNotice::Unreadable => {}
+        (None, LimitNotice::Unstated | LimitNotice::Unreadable) => {}
     }
     if notice.leaving {
         let mark = LeavingMark { upstream: upstream.clone(), started_at };
@@ -81,29 +84,35 @@
     }
 }
 
-/// Notes whether an upstream is brittle. One that turned a request away is asked rarely by all hosts
-/// together until it has run one: it has that rate limit.
-fn note_brittle(host: &Arc<Host>, source: NoticeSource<'_>, notice: &UpstreamNotice) {
+/// Notes whether an upstream is brittle. Returns how many requests a second all hosts together may
+/// send to one that has just turned a request away for want of room.
+fn note_brittle(
+    host: &Host,
+    source: NoticeSource<'_>,
+    notice: &UpstreamNotice,
+) -> Option<RequestRate> {
     let NoticeSource { upstream, started_at, not_run, .. } = source;
     let now = host.now();
-    let rate = {
-        let brittle = &mut host.state().directory.brittle;
-        match notice.brittle {
-            LimitNotice::Limit(rejections) => {
-                brittle.note(now, upstream, started_at, Some(rejections));
-            }
-            LimitNotice::Unstated => brittle.note(now, upstream, started_at, None),
-            LimitNotice::Unreadable => {}
+    let brittle = &mut host.state().directory.brittle;
+    match notice.brittle {
+        LimitNotice::Limit(rejections) => {
+            brittle.note(now, upstream, started_at, Some(rejections));
         }
-        brittle.rate_when_full(now, upstream, started_at).filter(|_| not_run && notice.full)
-    };
-    let Some(rate) = rate else { return };
+        LimitNotice::Unstated => brittle.note(now, upstream, started_at, None),
+        LimitNotice::Unreadable => {}
+    }
+    brittle.rate_when_full(now, upstream, started_at).filter(|_| not_run && notice.full)
+}
+
+/// Handles that a brittle upstream is full: all hosts together ask it rarely, at `rate`, until it has
+/// run a request.
+fn note_full(host: &Arc<Host>, source: NoticeSource<'_>, rate: RequestRate) {
     if note_limit(host, source, Some(rate), "its rejection") {
         host.metrics.notices.with_label_values(&["brittle_full"]).inc();
         let report = {
             let state = host.state();
-            let entry = state.directory.rate_limits.get(upstream);
-            entry.map(|entry| build_limit_report(&state, upstream, entry))
+            let entry = state.directory.rate_limits.get(source.upstream);
+            entry.map(|entry| build_limit_report(&state, source.upstream, entry))
         };
         // The next heartbeat would tell the others when they have sent more.
         let message = PeerMessage::RateLimits(report.into_iter().collect());
