Take what the latest request of a brittle upstream showed, not the latest response

Cause: marks went by the order of arrival; rate limits already go by the time of the request. Change: a mark holds when its request was sent, also of one that says "not brittle"; an earlier one changes nothing.

--- a/crates/decisions/src/brittle_upstreams.rs
+++ b/crates/decisions/src/brittle_upstreams.rs
@@ -18,7 +18,10 @@
 #[derive(Clone, Copy, Debug)]
 struct BrittleMark {
     started_at: u64,
-    rejections: RequestRate,
+    /// When the request was sent whose response said this.
+    asked_at: ClockInstant,
+    /// Requests that it can turn away; `None` if it did not say that it is brittle.
+    rejections: Option<RequestRate>,
     until: ClockInstant,
 }
 
@@ -29,34 +32,31 @@
 }
 
 impl BrittleUpstreams {
-    /// Records what a response of `upstream`, started at `started_at`, said: how many requests it can
-    /// turn away, or `None` if it did not say that it is brittle.
+    /// Records what the response of `upstream`, started at `started_at`, to a request sent at
+    /// `asked_at` said: how many requests it can turn away, or `None` if it did not say that it is
+    /// brittle. A response to an earlier request says nothing new.
     pub fn note(
         &mut self,
         now: ClockInstant,
         upstream: &UpstreamId,
         started_at: u64,
+        asked_at: ClockInstant,
         rejections: Option<RequestRate>,
     ) {
         self.marks.retain(|_, mark| mark.until > now);
-        let is_old = |mark: &BrittleMark| mark.started_at > started_at;
-        if self.marks.get(upstream).is_some_and(is_old) {
+        let known = self.marks.get(upstream);
+        let is_late =
+            known.is_some_and(|mark| (started_at, asked_at) < (mark.started_at, mark.asked_at));
+        if is_late || (known.is_none() && rejections.is_none()) {
             return;
         }
-        match rejections {
-            Some(rejections) => {
-                let mark = BrittleMark { started_at, rejections, until: now + MARK_SPAN };
-                self.marks.insert(upstream.clone(), mark);
-            }
-            None => {
-                self.marks.remove(upstream);
-            }
-        }
+        let mark = BrittleMark { started_at, asked_at, rejections, until: now + MARK_SPAN };
+        self.marks.insert(upstream.clone(), mark);
     }
 
     /// Returns whether `upstream` is brittle as started at `started_at`.
     pub fn is_brittle(&self, now: ClockInstant, upstream: &UpstreamId, started_at: u64) -> bool {
-        self.mark(now, upstream, started_at).is_some()
+        self.rejections(now, upstream, started_at).is_some()
     }
 
     /// Returns how many requests a second all hosts together may send to `upstream` once it turned
@@ -67,17 +67,17 @@
         upstream: &UpstreamId,
         started_at: u64,
     ) -> Option<RequestRate> {
-        let mark = self.mark(now, upstream, started_at)?;
-        Some(mark.rejections.scaled(ASKED_FRACTION))
+        let rejections = self.rejections(now, upstream, started_at)?;
+        Some(rejections.scaled(ASKED_FRACTION))
     }
 
-    fn mark(
+    fn rejections(
         &self,
         now: ClockInstant,
         upstream: &UpstreamId,
         started_at: u64,
-    ) -> Option<&BrittleMark> {
+    ) -> Option<RequestRate> {
         let mark = self.marks.get(upstream)?;
-        (mark.until > now && mark.started_at == started_at).then_some(mark)
+        mark.rejections.filter(|_| mark.until > now && mark.started_at == started_at)
     }
 }
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -91,14 +91,14 @@
     source: NoticeSource<'_>,
     notice: &UpstreamNotice,
 ) -> Option<RequestRate> {
-    let NoticeSource { upstream, started_at, not_run, .. } = source;
+    let NoticeSource { upstream, started_at, asked_at, not_run, .. } = source;
     let now = host.now();
     let brittle = &mut host.state().directory.brittle;
     match notice.brittle {
         LimitNotice::Limit(rejections) => {
-            brittle.note(now, upstream, started_at, Some(rejections));
+            brittle.note(now, upstream, started_at, asked_at, Some(rejections));
         }
-        LimitNotice::Unstated => brittle.note(now, upstream, started_at, None),
+        LimitNotice::Unstated => brittle.note(now, upstream, started_at, asked_at, None),
         LimitNotice::Unreadable => {}
     }
     brittle.rate_when_full(now, upstream, started_at).filter(|_| not_run && notice.full)
