Move guards and outcomes out of the host's state and the dispatch, and split the wait

No change of behaviour. - guards.rs: what is counted in the host's state and taken out on drop (requests that wait or run, reserved retries). - outcomes.rs: what came of one attempt, and what it shows about the upstream. - selection.rs: the reasons to end a wait, and the refusal at the deadline, are functions of their own.

--- a/crates/gateway/src/beside.rs
+++ b/crates/gateway/src/beside.rs
@@ -15,9 +15,10 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::crashes::check_for_crash;
-use crate::dispatch::{RequestProgress, SendOutcome, SilentAttempt, send_once};
+use crate::dispatch::{RequestProgress, SilentAttempt, send_once};
 use crate::exchange::ConnectFailure;
 use crate::handler::{Admission, GatewayCall};
+use crate::outcomes::SendOutcome;
 use crate::peeked::PeekedBody;
 use crate::reach;
 use crate::selection::{SelectedUpstream, select_upstream};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,10 +19,11 @@
 
 use crate::beside::{SEARCH_INTERVAL, SilentUpstream, ask_beside, note_replaced};
 use crate::body::{BrokenResponse, GatewayBody, ResponseChunk};
-use crate::dispatch::{RequestProgress, SendOutcome, send};
+use crate::dispatch::{RequestProgress, send};
 use crate::document::CallKind;
 use crate::events::{EventFramer, EventTail, ResumePoint};
 use crate::handler::{Admission, GatewayCall, model_text};
+use crate::outcomes::SendOutcome;
 use crate::peeked::PeekedBody;
 use crate::resumption::StreamKind;
 use crate::selection::{SelectedUpstream, select_upstream};
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -18,13 +18,12 @@
 use crate::candidates::{CandidateSet, collect_candidates};
 use crate::crashes::InFlightGuard;
 use crate::dispatch::{NO_UPSTREAM_RETRY_AFTER, RequestProgress};
+use crate::guards::{RoomWaiter, RunningGuard, WaitingGuard};
 use crate::handler::{Admission, GatewayCall, admit};
 use crate::permit_search::{PermitSearch, PermitStep};
 use crate::permits::request_permit;
 use crate::refusal::GatewayRefusal;
-use crate::state::{
-    GatewayRunKind, Host, HostState, RoomWaiter, RunningGuard, WaitingGuard, WaitingRequest,
-};
+use crate::state::{GatewayRunKind, Host, HostState, WaitingRequest};
 use crate::stream_versions::AllowedVersions;
 use crate::stream_versions::history::want_history;
 
@@ -138,12 +137,7 @@
         changed.as_mut().enable();
         search.expire(host.now());
         let Some(left) = progress.remaining(host) else {
-            let reason = match &call.head.model {
-                _ if !has_waited => "deadline_too_near",
-                Some(_) => "no_runner_holds_model",
-                None => "no_upstream",
-            };
-            return Err(GatewayRefusal::not_run(reason, NO_UPSTREAM_RETRY_AFTER).into());
+            return Err(refusal_at_deadline(call, has_waited).into());
         };
         let selection = try_select(host, call, admission, progress, &search, &room)?;
         let is_full = matches!(selection, Selection::Full(_));
@@ -172,21 +166,10 @@
             Selection::Full(_) | Selection::Limited(PermitStep::Wait | PermitStep::Nothing) => {}
         }
         room.has_waited = true;
-        let stop = host.state().stop;
-        if stop.is_some_and(|stop| host.now().since(stop.requested) > SHUTDOWN_WAIT) {
-            return Err(GatewayRefusal::leaving().into());
-        }
-        let displacement =
-            host.state().directory.displacement(host.now(), &progress.service, &admission.regions);
-        if let Some(reason) = displacement {
-            return Err(GatewayRefusal::not_run(reason, DISPLACED_RETRY_AFTER).into());
-        }
-        if let Some(pause) = pause_past(host, call, admission, progress, latest) {
-            return Err(GatewayRefusal::not_run("upstreams_want_a_pause", pause).into());
-        }
-        if host.now() > latest && search.slot_in(host.now()).is_none() {
-            let reason = if is_full { "upstreams_full" } else { "no_place_soon" };
-            return Err(GatewayRefusal::not_run(reason, NO_UPSTREAM_RETRY_AFTER).into());
+        if let Some(refusal) =
+            refusal_of_wait(host, call, admission, progress, latest, is_full, &search)
+        {
+            return Err(refusal.into());
         }
         if let Some(choice) = &call.head.model
             && waiting.as_ref().is_none_or(|guard| guard.regions() != &admission.regions)
@@ -214,6 +197,43 @@
     }
 }
 
+/// Returns why the request can't wait any longer for an upstream; `None` if it may.
+fn refusal_of_wait(
+    host: &Host,
+    call: &GatewayCall,
+    admission: &Admission,
+    progress: &RequestProgress,
+    latest: ClockInstant,
+    is_full: bool,
+    search: &PermitSearch,
+) -> Option<GatewayRefusal> {
+    let (now, stop) = (host.now(), host.state().stop);
+    if stop.is_some_and(|stop| now.since(stop.requested) > SHUTDOWN_WAIT) {
+        return Some(GatewayRefusal::leaving());
+    }
+    let displacement =
+        host.state().directory.displacement(now, &progress.service, &admission.regions);
+    if let Some(reason) = displacement {
+        return Some(GatewayRefusal::not_run(reason, DISPLACED_RETRY_AFTER));
+    }
+    if let Some(pause) = pause_past(host, call, admission, progress, latest) {
+        return Some(GatewayRefusal::not_run("upstreams_want_a_pause", pause));
+    }
+    let is_over = now > latest && search.slot_in(now).is_none();
+    let reason = if is_full { "upstreams_full" } else { "no_place_soon" };
+    is_over.then(|| GatewayRefusal::not_run(reason, NO_UPSTREAM_RETRY_AFTER))
+}
+
+/// Returns the refusal of a request whose deadline is too near for another attempt.
+fn refusal_at_deadline(call: &GatewayCall, has_waited: bool) -> GatewayRefusal {
+    let reason = match &call.head.model {
+        _ if !has_waited => "deadline_too_near",
+        Some(_) => "no_runner_holds_model",
+        None => "no_upstream",
+    };
+    GatewayRefusal::not_run(reason, NO_UPSTREAM_RETRY_AFTER)
+}
+
 /// Returns the time until an upstream accepts the request, at `slot` or at the end of a pause,
 /// unless that is before `latest` and the deadline.
 fn wait_past(
