Test a cut in one direction between a host and all upstreams

Open connections take requests and lose the answers, new ones hang (LinkMode::Unanswered). No change of the product.

--- a/crates/standins/src/site/link.rs
+++ b/crates/standins/src/site/link.rs
@@ -39,6 +39,9 @@
     Cut,
     /// Does not answer new connections, which hang; holds back both directions of open ones.
     Silent,
+    /// Does not answer new connections, which hang; forwards requests on open ones and discards
+    /// responses.
+    Unanswered,
 }
 
 impl LinkMode {
@@ -49,7 +52,12 @@
 
     /// Returns whether new connections are not accepted.
     fn is_deaf(self) -> bool {
-        matches!(self, Self::Refused | Self::Cut | Self::Silent)
+        matches!(self, Self::Refused | Self::Cut) || self.hangs()
+    }
+
+    /// Returns whether new connections get no answer at all.
+    fn hangs(self) -> bool {
+        matches!(self, Self::Silent | Self::Unanswered)
     }
 }
 
@@ -109,7 +117,7 @@
             accepted = listening.accept() => accepted,
             () = await_mode(&mut mode_watch, LinkMode::is_deaf) => {
                 listener = None;
-                if *mode.borrow() == LinkMode::Silent {
+                if mode.borrow().hangs() {
                     hold_silent(address, mode.clone()).await;
                 }
                 continue;
@@ -148,7 +156,7 @@
     for _ in 0..=SILENT_BACKLOG {
         fillers.push(timeout(FILLER_TIMEOUT, TcpStream::connect(address)).await);
     }
-    let _ = mode.wait_for(|mode| *mode != LinkMode::Silent).await;
+    let _ = mode.wait_for(|mode| !mode.hangs()).await;
 }
 
 /// Forwards both directions until one side closes or the link is reset.
@@ -191,9 +199,10 @@
                     |mode: &LinkMode| ![LinkMode::Stalled, LinkMode::Silent].contains(mode);
                 let _ = mode.wait_for(is_over).await;
             }
-            LinkMode::OneWay if is_response => continue,
+            LinkMode::OneWay | LinkMode::Unanswered if is_response => continue,
             LinkMode::Open
             | LinkMode::OneWay
+            | LinkMode::Unanswered
             | LinkMode::Reset
             | LinkMode::Refused
             | LinkMode::Cut => {}
