Review: show streams that go on at another software version

A host that starts while reads of the store are 5.5 s behind takes its first read of the history of versions for confirmed. For up to 2 s it names the version before as the only one that can have begun a stream, and asks nobody. After two of three machines were killed at once, 15 to 30 of 142 streams hold events of v2 and v1 (ORDER).

--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -7,6 +7,7 @@
 mod lease_case;
 mod stale_case;
 mod store;
+mod version_case;
 
 use std::process::ExitCode;
 
@@ -38,6 +39,7 @@
     let outcome = match case.as_str() {
         "lease" => lease_case::run(&record, trouble).await,
         "stale" => stale_case::run(&record, trouble).await,
+        "versions" => version_case::run(&record, trouble).await,
         _ => Ok(Outcome::CouldNotRun),
     };
     let code = match outcome {
--- a/review/harness-2/src/stale_case.rs
+++ b/review/harness-2/src/stale_case.rs
@@ -28,6 +28,7 @@
 pub async fn run(record: &Record, trouble: bool) -> std::io::Result<Outcome> {
     let place = Place::new()?;
     let store = TimedStore::start().await?;
+    store.vary_delay();
     let mut engines = Vec::new();
     for name in ["i-booking-1", "i-booking-2"] {
         let engine = SiteEngine::start(name, &[], &[]).await?;
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -37,8 +37,12 @@
 struct StoreState {
     versions: VecDeque<StoreVersion>,
     history_start: u64,
-    /// Time that each answer takes.
+    /// Time that an answer usually takes.
     delay: Duration,
+    /// Whether answers take up to a quarter less or more than that.
+    varies: bool,
+    /// Decides how much longer or shorter each answer takes.
+    random: u32,
     /// How far reads are behind.
     lag: Duration,
     aliases: HashMap<String, String>,
@@ -70,6 +74,16 @@
         self.versions.back().expect("there is always a version")
     }
 
+    /// Returns the time that the next answer takes.
+    fn next_delay(&mut self) -> Duration {
+        if !self.varies {
+            return self.delay;
+        }
+        // The constants of Numerical Recipes' linear congruential generator.
+        self.random = self.random.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        self.delay.mul_f64(0.75 + f64::from(self.random >> 8) / f64::from(1_u32 << 24) * 0.5)
+    }
+
     /// Returns the state that reads show now.
     fn shown(&self) -> StoreVersion {
         let at = Instant::now().checked_sub(self.lag);
@@ -105,6 +119,8 @@
             versions: VecDeque::from([first]),
             history_start: 0,
             delay: Duration::from_millis(4),
+            varies: false,
+            random: std::process::id(),
             lag: Duration::ZERO,
             aliases: HashMap::new(),
             commits: Vec::new(),
@@ -134,6 +150,11 @@
         lock(&self.state).delay = delay;
     }
 
+    /// Lets answers take up to a quarter less or more than the usual time.
+    pub fn vary_delay(&self) {
+        lock(&self.state).varies = true;
+    }
+
     /// Drops the history, and lets reads be behind by `lag`.
     pub fn fall_behind(&self, lag: Duration) {
         let mut state = lock(&self.state);
@@ -160,7 +181,7 @@
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
     let query = parse_query(parts.uri.query().unwrap_or(""));
-    let delay = lock(&state).delay;
+    let delay = lock(&state).next_delay();
     let (status, answer) = match parts.uri.path() {
         "/rows-tx" => {
             sleep(delay).await;
