Review: show streams that a cut-off host joins from two versions

A host that is cut off from the store and the other hosts goes by rows of any age. Two of three runners are upgraded in place meanwhile. When the second one starts again, the host lets streams that it began at v1 go on at the first one, which is v2 by now: 10 streams hold events of both in one answer that looks whole (ORDER).

--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -237,10 +237,16 @@
 
 /// Asks for a stream as a client does; adds the events to `events` as they come. Returns the status, 0
 /// for no answer, and whether the answer ended as it should.
-pub async fn read_stream(ip: &str, id: &str, more: &str, events: &mut Events) -> (u16, bool) {
+pub async fn read_stream(
+    ip: &str,
+    route: &str,
+    id: &str,
+    more: &str,
+    events: &mut Events,
+) -> (u16, bool) {
     let body = "question";
     let request = format!(
-        "POST /closure/plan HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\n\
+        "POST /{route}/plan HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\n\
          X-Deadline-Ms: 15000\r\nContent-Length: {}\r\nConnection: close\r\n{more}\r\n{body}",
         body.len()
     );
@@ -278,10 +284,10 @@
         let mut route = json!({
             "name": name, "hostname": HOST, "prefix": format!("/{name}/"), "route_type": kind,
             "timeout_ms": if kind == "streaming" { 15_000 } else { 4_000 }, "goal_ms": 600, "priority": 1, "backend": service, "attempts": 2,
-            "public": false,
+            "public": name == "notice",
         });
         if kind == "streaming" {
-            route["can_resume"] = (name == "closure").into();
+            route["can_resume"] = (name != "draft").into();
             route["gap_goal_ms"] = 300.into();
         }
         route
@@ -289,7 +295,7 @@
     let document = json!({
         "revision": revision,
         "routes": [
-            route("draft", "streaming", MODELS), route("closure", "streaming", MODELS), route("book", "unsafe", BOOKINGS),
+            route("draft", "streaming", MODELS), route("closure", "streaming", MODELS), route("notice", "streaming", MODELS), route("book", "unsafe", BOOKINGS),
             route("roster", "safe", BOOKINGS),
         ],
         "services": [
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -5,8 +5,10 @@
 
 mod fleet;
 mod lease_case;
+mod restored_case;
 mod stale_case;
 mod store;
+mod upgrade_case;
 mod version_case;
 
 use std::process::ExitCode;
@@ -39,6 +41,8 @@
     let outcome = match case.as_str() {
         "lease" => lease_case::run(&record, trouble).await,
         "stale" => stale_case::run(&record, trouble).await,
+        "restored" => restored_case::run(&record, trouble).await,
+        "upgrade" => upgrade_case::run(&record, trouble).await,
         "versions" => version_case::run(&record, trouble).await,
         _ => Ok(Outcome::CouldNotRun),
     };
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -45,6 +45,10 @@
     random: u32,
     /// How far reads are behind.
     lag: Duration,
+    /// How often the store came back from a copy.
+    era: u32,
+    /// Whether it answers no call.
+    away: bool,
     aliases: HashMap<String, String>,
     commits: Vec<CommittedWrite>,
 }
@@ -122,6 +126,8 @@
             varies: false,
             random: std::process::id(),
             lag: Duration::ZERO,
+            era: 0,
+            away: false,
             aliases: HashMap::new(),
             commits: Vec::new(),
         }));
@@ -162,6 +168,23 @@
         state.lag = lag;
     }
 
+    /// Answers no call from now on, but with 503.
+    pub fn leave(&self) {
+        lock(&self.state).away = true;
+    }
+
+    /// Comes back from a copy of this age: later writes are gone, and their versions are given out
+    /// again.
+    pub fn come_back(&self, age: Duration) {
+        let mut state = lock(&self.state);
+        let at = Instant::now().checked_sub(age);
+        while state.versions.len() > 1 && at.is_none_or(|at| state.newest().since > at) {
+            state.versions.pop_back();
+        }
+        state.era += 1;
+        state.away = false;
+    }
+
     pub fn set_alias(&self, value: &str, alias: &str) {
         let pair = (encode(value.as_bytes()), encode(alias.as_bytes()));
         lock(&self.state).aliases.insert(pair.0, pair.1);
@@ -183,6 +206,7 @@
     let query = parse_query(parts.uri.query().unwrap_or(""));
     let delay = lock(&state).next_delay();
     let (status, answer) = match parts.uri.path() {
+        _ if lock(&state).away => (StatusCode::SERVICE_UNAVAILABLE, Value::Null),
         "/rows-tx" => {
             sleep(delay).await;
             commit(&mut lock(&state), &body)
@@ -200,7 +224,7 @@
         _ => (StatusCode::NOT_FOUND, Value::Null),
     };
     let mut response = full_response(status, "application/json", answer.to_string());
-    response.headers_mut().insert("store-era", HeaderValue::from_static("0"));
+    response.headers_mut().insert("store-era", HeaderValue::from(lock(&state).era));
     response
 }
 
@@ -247,7 +271,9 @@
     let after = query.get("after").and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
     let table = query.get("table").cloned().unwrap_or_default();
     let shown = state.shown();
-    if after < state.history_start.min(shown.number) {
+    if after < state.history_start.min(shown.number)
+        || (state.lag.is_zero() && after > shown.number)
+    {
         return (StatusCode::GONE, Value::Null);
     }
     let mut changed: Vec<_> =
--- a/review/harness-2/src/version_case.rs
+++ b/review/harness-2/src/version_case.rs
@@ -183,7 +183,7 @@
     );
     let began = Instant::now();
     let mut events = Events::new();
-    let (mut status, mut whole) = read_stream(&first, &id, &headers, &mut events).await;
+    let (mut status, mut whole) = read_stream(&first, "closure", &id, &headers, &mut events).await;
     let mut tries = vec![(began, first, status)];
     // A new request that was refused is not of interest here.
     if status == 200 && !events.is_empty() {
@@ -196,7 +196,8 @@
             let more = format!("{headers}Last-Event-Id: {last}\r\nResumes: {id}\r\n");
             let at = Instant::now();
             (status, whole) =
-                read_stream(&second, &format!("{id}-r{index}"), &more, &mut events).await;
+                read_stream(&second, "closure", &format!("{id}-r{index}"), &more, &mut events)
+                    .await;
             tries.push((at, second.clone(), status));
         }
     }
