--- a/review/harness-2/src/upgrade_case.rs
+++ b/review/harness-2/src/upgrade_case.rs
@@ -48,7 +48,7 @@
     let store = TimedStore::start().await?;
     store.vary_delay();
     let mut engines = Vec::new();
-    for name in ["i-runner-1", "i-runner-2", "i-runner-3"] {
+    for name in ["i-runner-1", "i-runner-2", "i-runner-3", "i-runner-4"] {
         let engine = SiteEngine::start(name, &["m1"], &["m1"]).await?;
         engine.set_zone("dub-north");
         engine.set_version("v1");
--- a/review/harness-2/src/version_case.rs
+++ b/review/harness-2/src/version_case.rs
@@ -71,7 +71,7 @@
         beats.spawn(write_rows(store.writer(), engine.clone(), ended.clone()));
     }
     let mut daemons = Vec::new();
-    for number in 1..=3 {
+    for number in 1..=4 {
         daemons.push(place.start(&settings(number, true))?);
     }
     let ready = async || {
